--- /dev/null
+++ b/cmd/chestnutshed/check.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+)
+
+const checkUsage = `Check a manifest, or settings with --settings, without using them.
+
+Every error is listed with the place of its field. Exit code 2 means that the
+file would be refused.`
+
+type checkCommand struct {
+	out io.Writer
+	jsonOption
+
+	Settings bool `long:"settings" description:"the file holds settings, not a manifest"`
+	Args     struct {
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"true"`
+}
+
+// checked is the result of a check as JSON.
+type checked struct {
+	Name          string `json:"name,omitempty"`
+	Organisations int    `json:"organisations"`
+	Services      int    `json:"services"`
+	Routes        int    `json:"routes"`
+	Bytes         int    `json:"bytes"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	text, err := readFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if c.Settings {
+		if _, err := settings.Parse(text); err != nil {
+			return fmt.Errorf("%s: %w", c.Args.File, err)
+		}
+		return c.print(c.out, checked{Bytes: len(text)}, "the settings are valid\n")
+	}
+	m, err := manifest.Parse(text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Args.File, err)
+	}
+	r := checked{m.Name, len(m.Organisations), len(m.Services), len(m.Routes), len(text)}
+	line := fmt.Sprintf("%s is valid: %d organisations, %d services, %d routes, %d bytes\n",
+		r.Name, r.Organisations, r.Services, r.Routes, r.Bytes)
+	return c.print(c.out, r, line)
+}
--- /dev/null
+++ b/cmd/chestnutshed/options.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+	"chestnutshed.example/chestnutshed/internal/operate/access"
+	"chestnutshed.example/chestnutshed/internal/platform/object"
+	"github.com/gravitational/trace"
+)
+
+// platformOption names the platform.
+type platformOption struct {
+	Platform string `long:"platform" env:"CHESTNUTSHED_PLATFORM" value-name:"URL" description:"base URL of the object API"`
+}
+
+func (o platformOption) store() (*object.Client, error) {
+	if o.Platform == "" {
+		return nil, trace.BadParameter("--platform must be set")
+	}
+	return object.New(o.Platform), nil
+}
+
+// nodeOption names nodes by their operators' listeners.
+type nodeOption struct {
+	Nodes []string `long:"node" env:"CHESTNUTSHED_NODES" env-delim:"," value-name:"ADDRESS" description:"operators' listener of a node; may be repeated"`
+	CA    string   `long:"ca" value-name:"FILE" description:"authority of the operators' listeners, when they use TLS"`
+	Cert  string   `long:"cert" value-name:"FILE" description:"certificate to show"`
+	Key   string   `long:"tls-key" value-name:"FILE" description:"its private key"`
+}
+
+func (o nodeOption) client() (*access.Client, error) {
+	if len(o.Nodes) == 0 {
+		return nil, trace.BadParameter("--node must be given at least once")
+	}
+	c, err := access.New(settings.TLS{CA: o.CA, Cert: o.Cert, Key: o.Key})
+	if err != nil {
+		return nil, fmt.Errorf("tls files: %w", err)
+	}
+	return c, nil
+}
+
+// jsonOption switches to JSON output.
+type jsonOption struct {
+	JSON bool `long:"json" description:"print JSON"`
+}
+
+// print writes v as JSON or the text.
+func (o jsonOption) print(out io.Writer, v any, text string) error {
+	if !o.JSON {
+		_, err := io.WriteString(out, text)
+		return err
+	}
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// readFile reads an input file, "-" being standard input.
+func readFile(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read file: %w", trace.ConvertSystemError(err))
+	}
+	return text, nil
+}
--- /dev/null
+++ b/cmd/chestnutshed/version.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+)
+
+const versionUsage = `Print the version of this program.`
+
+// version is the release, as in CHANGELOG.md.
+const version = "0.1.0"
+
+type versionCommand struct {
+	out io.Writer
+	jsonOption
+}
+
+// release is the version as JSON.
+type release struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+}
+
+// Execute implements flags.Commander.
+func (c *versionCommand) Execute([]string) error {
+	r := release{version, runtime.Version()}
+	return c.print(c.out, r, fmt.Sprintf("chestnutshed %s (%s)\n", r.Version, r.Go))
+}
--- /dev/null
+++ b/cmd/standin/demo.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/standin/deployment"
+	"chestnutshed.example/chestnutshed/internal/standin/load"
+	"chestnutshed.example/chestnutshed/internal/standin/rig"
+	"chestnutshed.example/chestnutshed/internal/standin/target"
+)
+
+const demoUsage = `Run a whole deployment on loopback in one process, for a bounded time.
+
+Platform, targets, nodes and callers start without any set-up. In the second
+third of the time the targets of one service are slowed down.`
+
+type demoCommand struct {
+	out io.Writer
+
+	Deployment string        `long:"deployment" default:"budapest" description:"budapest or mexico"`
+	For        time.Duration `long:"for" default:"15s" description:"how long callers send"`
+	Rate       float64       `long:"rate" default:"300" description:"requests a second, of all organisations together"`
+	Slow       float64       `long:"slow" default:"5" description:"factor of the slow-down"`
+	Service    string        `long:"service" default:"" description:"service that is slowed; the first one by default"`
+}
+
+// startTimeout bounds the start of the whole deployment.
+const startTimeout = 30 * time.Second
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	d, err := deployment.Load(c.Deployment)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	c.say("starting %s: platform, targets and nodes\n", d.Name)
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	r, err := rig.Start(startCtx, d, rig.Quiet())
+	if err != nil {
+		return fmt.Errorf("start the deployment: %w", err)
+	}
+	c.say("%d nodes are ready; callers send %g requests a second for %s\n", len(r.Members), c.Rate, c.For)
+	l := load.New(load.Config{
+		Entries: r.Entries(),
+		Callers: callers(d, c.Rate),
+		Mix:     d.Mix,
+		For:     c.For,
+		Seed:    1,
+	})
+	done := make(chan load.Report, 1)
+	go func() { done <- l.Run(ctx) }()
+	report := c.follow(l, r, d, done)
+	c.say("\n\n%s", report.Text())
+	return r.Stop()
+}
+
+func (c *demoCommand) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(c.out, format, args...)
+}
+
+// follow prints a progress line and slows a service in the second third.
+func (c *demoCommand) follow(l *load.Load, r *rig.Rig, d deployment.Deployment, done <-chan load.Report) load.Report {
+	began := time.Now()
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	slowed, before := false, 0
+	for {
+		select {
+		case report := <-done:
+			return report
+		case <-ticker.C:
+		}
+		third := c.For / 3
+		past := time.Since(began)
+		if slow := past >= third && past < 2*third; slow != slowed {
+			slowed = slow
+			c.slow(r, d, slow)
+		}
+		sent, whole, wrong, refused := l.Report(past).Totals()
+		state := "normal"
+		if slowed {
+			state = "slowed"
+		}
+		c.say("\r%4.0f s  %s  ended %d  whole %d (%d/s)  wrong %d  refused %d   ", past.Seconds(), state, sent, whole, whole-before, wrong, refused)
+		before = whole
+	}
+}
+
+// slow switches the slow-down of one service's targets.
+func (c *demoCommand) slow(r *rig.Rig, d deployment.Deployment, on bool) {
+	name := c.Service
+	if name == "" {
+		name = d.Services[0].Name
+	}
+	f := target.Faults{}
+	if on {
+		f.Slow = c.Slow
+	}
+	for _, m := range r.Members {
+		if m.Service == name {
+			m.Target.SetFaults(f)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/current/current.go
@@ -0,0 +1,353 @@
+package current
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/core/ring"
+	"chestnutshed.example/chestnutshed/internal/platform/object"
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+)
+
+// Name of the service.
+const Name = "config"
+
+const (
+	// watchWait is how long one watch waits at the platform.
+	watchWait = 25 * time.Second
+	// recheck is how often a node that doesn't watch asks whether it should.
+	recheck = 2 * time.Second
+	// maxHistory is the number of heads kept for peers.
+	maxHistory = 32
+	// offers is the room for heads heard from peers and not yet looked at.
+	offers = 16
+)
+
+// Config is one accepted configuration. It is never changed.
+type Config struct {
+	Head  Head
+	Text  []byte
+	Index *manifest.Index
+	// Since is when this node put it in force.
+	Since time.Time
+}
+
+// Source is where texts come from besides the platform.
+type Source interface {
+	// FetchNews returns what a peer has in force beyond a version.
+	FetchNews(ctx context.Context, address string, have uint64) (News, error)
+	// Watcher reports whether this node is one of its availability zone's
+	// watchers of the platform.
+	Watcher() bool
+	// Spread tells peers about a new head.
+	Spread(h Head)
+}
+
+// News brings a node from one version to a later one: by the heads in between,
+// each with a delta, or by the whole text of the last.
+type News struct {
+	Heads []Head `json:"heads"`
+	Text  []byte `json:"text,omitempty"`
+}
+
+// Offer is a head heard from a peer.
+type Offer struct {
+	Head    Head
+	Address string
+}
+
+// Service keeps the configuration in force.
+type Service struct {
+	store  *object.Client
+	log    *logrus.Entry
+	offers *ring.Ring[Offer]
+
+	now    atomic.Pointer[Config]
+	mu     sync.Mutex
+	ready  chan struct{}
+	source Source
+	last   string
+	// history holds the latest heads, for peers that are a little behind.
+	history []Head
+}
+
+// New returns the service without a configuration.
+func New(store *object.Client, log *logrus.Entry) *Service {
+	return &Service{
+		store:  store,
+		log:    log,
+		offers: ring.New[Offer](offers),
+		ready:  make(chan struct{}),
+	}
+}
+
+// SetSource names where texts come from besides the platform; call it before
+// the kernel starts the service.
+func (s *Service) SetSource(source Source) { s.source = source }
+
+// Get returns the configuration in force, or nil before the first one.
+func (s *Service) Get() *Config { return s.now.Load() }
+
+// Ready is closed when the first configuration is in force.
+func (s *Service) Ready() <-chan struct{} { return s.ready }
+
+// Version is the version in force, or 0.
+func (s *Service) Version() uint64 {
+	if c := s.Get(); c != nil {
+		return c.Head.Version
+	}
+	return 0
+}
+
+// Offered takes note of a head heard from a peer; it never blocks.
+func (s *Service) Offered(o Offer) {
+	if o.Head.Version > s.Version() {
+		s.offers.Push(o)
+	}
+}
+
+// Accept puts a configuration in force if its version is above the present
+// one. It reports whether it did.
+func (s *Service) Accept(now time.Time, head Head, text []byte) (bool, error) {
+	if Digest(text) != head.Digest {
+		return false, trace.BadParameter("configuration %d: the digest is another", head.Version)
+	}
+	m, err := manifest.Parse(text)
+	if err != nil {
+		return false, fmt.Errorf("configuration %d: %w", head.Version, err)
+	}
+	index, err := manifest.NewIndex(m)
+	if err != nil {
+		return false, fmt.Errorf("configuration %d: %w", head.Version, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if head.Version <= s.Version() {
+		return false, nil
+	}
+	first := s.Get() == nil
+	s.now.Store(&Config{Head: head, Text: text, Index: index, Since: now})
+	s.history = append(s.history, head)
+	if len(s.history) > maxHistory {
+		s.history = s.history[1:]
+	}
+	if first {
+		close(s.ready)
+	}
+	s.log.WithField("version", head.Version).WithField("by", head.By).Info("configuration in force")
+	return true, nil
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Start implements kernel.Service.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	k.Go(s.watch)
+	k.Go(s.follow)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error { return nil }
+
+// watch waits at the platform for new heads while this node is a watcher, or
+// has no configuration yet.
+func (s *Service) watch(ctx context.Context) error {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	var backoff object.Backoff
+	var seen uint64
+	for ctx.Err() == nil {
+		if s.Get() != nil && !s.source.Watcher() {
+			pause(ctx, recheck)
+			continue
+		}
+		o, err := s.store.Watch(ctx, HeadKey, seen, watchWait)
+		switch {
+		case trace.IsNotFound(err):
+			backoff = backoff.WithSuccess()
+			continue
+		case err != nil:
+			backoff = backoff.WithFailure()
+			s.note("platform: " + err.Error())
+			pause(ctx, backoff.Wait(random))
+			continue
+		}
+		backoff = backoff.WithSuccess()
+		seen = o.Version
+		s.note("")
+		if err := s.takeHead(ctx, o.Value); err != nil {
+			seen = 0
+			backoff = backoff.WithFailure()
+			s.note(err.Error())
+			pause(ctx, backoff.Wait(random))
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// note keeps the last trouble for the dump and logs it once.
+func (s *Service) note(trouble string) {
+	s.mu.Lock()
+	changed := s.last != trouble
+	s.last = trouble
+	s.mu.Unlock()
+	if changed && trouble != "" {
+		s.log.Warn(trouble)
+	}
+}
+
+// takeHead puts the version that a head object names in force.
+func (s *Service) takeHead(ctx context.Context, value []byte) error {
+	head, err := DecodeHead(value)
+	if err != nil {
+		return err
+	}
+	if head.Version <= s.Version() {
+		return nil
+	}
+	text, err := s.textOf(ctx, head)
+	if err != nil {
+		return err
+	}
+	return s.take(head, text)
+}
+
+// textOf makes the text of a head by its delta or reads it whole.
+func (s *Service) textOf(ctx context.Context, head Head) ([]byte, error) {
+	if text, ok := s.byDelta(head); ok {
+		return text, nil
+	}
+	o, err := s.store.Get(ctx, TextKey(head.Ship))
+	if err != nil {
+		return nil, fmt.Errorf("read configuration %d: %w", head.Version, err)
+	}
+	return o.Value, nil
+}
+
+func (s *Service) byDelta(head Head) ([]byte, bool) {
+	c := s.Get()
+	if c == nil || head.Delta == nil || head.Version != c.Head.Version+1 {
+		return nil, false
+	}
+	text, err := head.Delta.Apply(c.Text, head.Digest)
+	return text, err == nil
+}
+
+func (s *Service) take(head Head, text []byte) error {
+	accepted, err := s.Accept(time.Now(), head, text)
+	if err != nil {
+		return err
+	}
+	if accepted {
+		s.source.Spread(head)
+	}
+	return nil
+}
+
+// follow looks at the heads that peers have told of.
+func (s *Service) follow(ctx context.Context) error {
+	for {
+		heard, err := s.offers.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		for _, o := range heard {
+			if err := s.takeOffer(ctx, o); err != nil {
+				s.note("peer " + o.Address + ": " + err.Error())
+			}
+		}
+	}
+}
+
+func (s *Service) takeOffer(ctx context.Context, o Offer) error {
+	if o.Head.Version <= s.Version() {
+		return nil
+	}
+	if text, ok := s.byDelta(o.Head); ok {
+		return s.take(o.Head, text)
+	}
+	news, err := s.source.FetchNews(ctx, o.Address, s.Version())
+	if err != nil {
+		return fmt.Errorf("fetch configuration %d: %w", o.Head.Version, err)
+	}
+	return s.takeNews(news)
+}
+
+func (s *Service) takeNews(news News) error {
+	if len(news.Heads) == 0 {
+		return nil
+	}
+	if news.Text != nil {
+		return s.take(news.Heads[len(news.Heads)-1], news.Text)
+	}
+	for _, head := range news.Heads {
+		text, ok := s.byDelta(head)
+		if !ok {
+			return trace.BadParameter("configuration %d: its delta does not fit", head.Version)
+		}
+		if err := s.take(head, text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// NewsSince returns what a node at a version needs to come up to this one.
+func (s *Service) NewsSince(have uint64) News {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.Get()
+	if c == nil || c.Head.Version <= have {
+		return News{}
+	}
+	for i, head := range s.history {
+		if head.Version == have+1 && allDeltas(s.history[i:]) {
+			return News{Heads: append([]Head(nil), s.history[i:]...)}
+		}
+	}
+	return News{Heads: []Head{c.Head}, Text: c.Text}
+}
+
+// allDeltas reports whether heads follow each other, each with a delta.
+func allDeltas(heads []Head) bool {
+	for i, head := range heads {
+		if head.Delta == nil || head.Version != heads[0].Version+uint64(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// State implements kernel.Service.
+func (s *Service) State() any {
+	state := struct {
+		Head    *Head     `json:"head"`
+		Since   time.Time `json:"since,omitzero"`
+		Trouble string    `json:"trouble,omitempty"`
+		Calls   uint64    `json:"platform_calls"`
+	}{Calls: s.store.Calls()}
+	if c := s.Get(); c != nil {
+		head := c.Head
+		head.Delta = nil
+		state.Head, state.Since = &head, c.Since
+	}
+	s.mu.Lock()
+	state.Trouble = s.last
+	s.mu.Unlock()
+	return state
+}
--- /dev/null
+++ b/internal/config/manifest/manifest.go
@@ -0,0 +1,312 @@
+// Package manifest defines what operators declare: organisations, keys,
+// services, routes and retry budgets, as JSON with comments.
+package manifest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+	"github.com/gravitational/trace"
+)
+
+// MaxSize is the largest manifest text, in bytes: the largest value that the
+// platform holds.
+const MaxSize = 1 << 20
+
+// Limits and defaults of a route and of retries.
+const (
+	defaultDeadline = 5 * time.Second
+	maxDeadline     = 5 * time.Minute
+	defaultBody     = 64 << 10
+	defaultAnswer   = 1 << 20
+	maxPayload      = 64 << 20
+	defaultBudget   = 3
+	maxBudget       = 20
+	defaultRatio    = 0.1
+	maxParts        = 64
+)
+
+// digestPrefix starts the digest of a key in the manifest.
+const digestPrefix = "sha256:"
+
+// Importance orders requests under overload; a greater one is shed later.
+type Importance int
+
+// The importances, least first.
+const (
+	Low Importance = iota
+	Normal
+	High
+	Critical
+	// Importances is how many there are.
+	Importances = 4
+)
+
+var importanceNames = [Importances]string{"low", "normal", "high", "critical"}
+
+// String returns the name used in the manifest.
+func (i Importance) String() string {
+	if i < 0 || i >= Importances {
+		return fmt.Sprintf("importance(%d)", int(i))
+	}
+	return importanceNames[i]
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (i Importance) MarshalText() ([]byte, error) { return []byte(i.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (i *Importance) UnmarshalText(text []byte) error {
+	for n, name := range importanceNames {
+		if name == string(text) {
+			*i = Importance(n)
+			return nil
+		}
+	}
+	return trace.BadParameter("importance must be low, normal, high or critical, got %q", text)
+}
+
+// Organisation is a customer with its own keys, rate and share.
+type Organisation struct {
+	Name string `json:"name"`
+	// Rate is in requests a second, Burst in requests, fleet-wide.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	// Share weighs this organisation against others under overload.
+	Share float64 `json:"share"`
+	// Parts is the number of holders that the rate is divided among.
+	Parts int `json:"parts,omitempty"`
+	// Keys are digests as printed by the key command.
+	Keys []string `json:"keys"`
+}
+
+// Service is a group of targets that answer the same routes.
+type Service struct {
+	Name string `json:"name"`
+}
+
+// Route maps a method and a path pattern to a service.
+type Route struct {
+	Name    string `json:"name"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Service string `json:"service"`
+	// Importance decides who is shed first; the default is "low".
+	Importance Importance `json:"importance"`
+	// Idempotent routes may be sent again after a loss.
+	Idempotent bool `json:"idempotent"`
+	// Open routes need no key.
+	Open bool `json:"open,omitempty"`
+	// Internal routes are for calls between services only.
+	Internal bool              `json:"internal,omitempty"`
+	Deadline settings.Duration `json:"deadline,omitzero"`
+	// Body and Answer are limits in bytes.
+	Body   int64 `json:"body,omitempty"`
+	Answer int64 `json:"answer,omitempty"`
+}
+
+// Retry bounds sends beyond the first ones.
+type Retry struct {
+	// Budget is the number of extra sends for one root and all its inner calls.
+	Budget *int `json:"budget,omitempty"`
+	// Ratio bounds a node's extra sends against its first sends.
+	Ratio float64 `json:"ratio,omitempty"`
+}
+
+// Manifest is a whole declaration. Values are never changed after Parse.
+type Manifest struct {
+	Name          string         `json:"name"`
+	Organisations []Organisation `json:"organisations"`
+	Services      []Service      `json:"services"`
+	Routes        []Route        `json:"routes"`
+	Retry         Retry          `json:"retry,omitzero"`
+}
+
+// Defaults returns a copy in which empty optional fields have their values.
+func (m Manifest) Defaults() Manifest {
+	m.Organisations = append([]Organisation(nil), m.Organisations...)
+	for i, o := range m.Organisations {
+		if o.Share == 0 {
+			o.Share = 1
+		}
+		if o.Burst == 0 {
+			o.Burst = o.Rate
+		}
+		if o.Parts == 0 {
+			o.Parts = 1
+		}
+		m.Organisations[i] = o
+	}
+	m.Routes = append([]Route(nil), m.Routes...)
+	for i, r := range m.Routes {
+		m.Routes[i] = r.defaults()
+	}
+	if m.Retry.Budget == nil {
+		budget := defaultBudget
+		m.Retry.Budget = &budget
+	}
+	if m.Retry.Ratio == 0 {
+		m.Retry.Ratio = defaultRatio
+	}
+	return m
+}
+
+func (r Route) defaults() Route {
+	if r.Deadline == 0 {
+		r.Deadline = settings.Duration(defaultDeadline)
+	}
+	if r.Body == 0 {
+		r.Body = defaultBody
+	}
+	if r.Answer == 0 {
+		r.Answer = defaultAnswer
+	}
+	return r
+}
+
+// WithRoutes returns a copy with other routes.
+func (m Manifest) WithRoutes(routes []Route) Manifest {
+	m.Routes = append([]Route(nil), routes...)
+	return m
+}
+
+// WithOrganisations returns a copy with other organisations.
+func (m Manifest) WithOrganisations(orgs []Organisation) Manifest {
+	m.Organisations = append([]Organisation(nil), orgs...)
+	return m
+}
+
+// checker collects errors, each with the place of its field.
+type checker struct{ errs []error }
+
+func (c *checker) add(place, format string, args ...any) {
+	c.errs = append(c.errs, trace.BadParameter("%s: %s", place, fmt.Sprintf(format, args...)))
+}
+
+func (c *checker) unique(seen map[string]bool, place, name string) {
+	switch {
+	case name == "":
+		c.add(place, "must be set")
+	case seen[name]:
+		c.add(place, "%q is used twice", name)
+	}
+	seen[name] = true
+}
+
+// Validate returns one error that names every field that is wrong.
+func (m Manifest) Validate() error {
+	c := &checker{}
+	if m.Name == "" {
+		c.add("name", "must be set")
+	}
+	m.checkOrganisations(c)
+	services := map[string]bool{}
+	for i, s := range m.Services {
+		c.unique(services, fmt.Sprintf("services[%d].name", i), s.Name)
+	}
+	m.checkRoutes(c, services)
+	if b := m.Retry.Budget; b != nil && (*b < 0 || *b > maxBudget) {
+		c.add("retry.budget", "must be from 0 to %d, got %d", maxBudget, *b)
+	}
+	if m.Retry.Ratio < 0 || m.Retry.Ratio > 1 {
+		c.add("retry.ratio", "must be from 0 to 1, got %g", m.Retry.Ratio)
+	}
+	return trace.NewAggregate(c.errs...)
+}
+
+func (m Manifest) checkOrganisations(c *checker) {
+	names, keys := map[string]bool{}, map[string]bool{}
+	for i, o := range m.Organisations {
+		place := fmt.Sprintf("organisations[%d]", i)
+		c.unique(names, place+".name", o.Name)
+		if o.Rate <= 0 {
+			c.add(place+".rate", "must be above 0, got %g", o.Rate)
+		}
+		if o.Burst < 1 {
+			c.add(place+".burst", "must be at least 1, got %g", o.Burst)
+		}
+		if o.Share <= 0 {
+			c.add(place+".share", "must be above 0, got %g", o.Share)
+		}
+		if o.Parts < 1 || o.Parts > maxParts || float64(o.Parts) > o.Burst {
+			c.add(place+".parts", "must be from 1 to %d and at most the burst, got %d", maxParts, o.Parts)
+		}
+		for j, k := range o.Keys {
+			at := fmt.Sprintf("%s.keys[%d]", place, j)
+			c.unique(keys, at, k)
+			raw, err := hex.DecodeString(strings.TrimPrefix(k, digestPrefix))
+			if !strings.HasPrefix(k, digestPrefix) || err != nil || len(raw) != sha256.Size {
+				c.add(at, "must be a digest as printed by the key command, not the key itself")
+			}
+		}
+	}
+}
+
+func (m Manifest) checkRoutes(c *checker, services map[string]bool) {
+	names, patterns := map[string]bool{}, map[string]bool{}
+	for i, r := range m.Routes {
+		place := fmt.Sprintf("routes[%d]", i)
+		c.unique(names, place+".name", r.Name)
+		switch r.Method {
+		case "GET", "HEAD":
+			if !r.Idempotent {
+				c.add(place+".idempotent", "%s must be idempotent", r.Method)
+			}
+		case "POST", "PUT", "PATCH", "DELETE":
+		default:
+			c.add(place+".method", "must be GET, HEAD, POST, PUT, PATCH or DELETE, got %q", r.Method)
+		}
+		shape, err := patternShape(r.Path)
+		if err != nil {
+			c.add(place+".path", "%v", err)
+		} else {
+			c.unique(patterns, place+".path", r.Method+" "+shape)
+		}
+		if !services[r.Service] {
+			c.add(place+".service", "%q is not among the services", r.Service)
+		}
+		if r.Open && r.Internal {
+			c.add(place+".open", "an internal route can't be open")
+		}
+		if r.Open && !r.Idempotent {
+			c.add(place+".open", "a route that is not idempotent needs a key")
+		}
+		if d := time.Duration(r.Deadline); d <= 0 || d > maxDeadline {
+			c.add(place+".deadline", "must be above 0 and at most %s, got %s", maxDeadline, d)
+		}
+		if r.Body < 0 || r.Body > maxPayload {
+			c.add(place+".body", "must be from 0 to %d bytes, got %d", int64(maxPayload), r.Body)
+		}
+		if r.Answer < 0 || r.Answer > maxPayload {
+			c.add(place+".answer", "must be from 0 to %d bytes, got %d", int64(maxPayload), r.Answer)
+		}
+	}
+}
+
+// Parse reads, completes and validates a manifest text. It returns
+// trace.LimitExceeded for a text over MaxSize and trace.BadParameter errors
+// for anything else that is wrong.
+func Parse(text []byte) (Manifest, error) {
+	var m Manifest
+	if len(text) > MaxSize {
+		return m, trace.LimitExceeded("the manifest has %d bytes, the platform holds at most %d", len(text), MaxSize)
+	}
+	if err := settings.Decode(text, &m); err != nil {
+		return m, fmt.Errorf("parse manifest: %w", err)
+	}
+	m = m.Defaults()
+	if err := m.Validate(); err != nil {
+		return m, fmt.Errorf("validate manifest: %w", err)
+	}
+	return m, nil
+}
+
+// Digest returns the digest under which a key stands in a manifest.
+func Digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return digestPrefix + hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/config/settings/settings.go
@@ -0,0 +1,230 @@
+// Package settings reads the settings of one process: its addresses, its
+// place, the platform and the secrets it is given by path or environment.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/tailscale/hujson"
+)
+
+// minSecret is the least length of the fleet secret, in bytes.
+const minSecret = 16
+
+// TLS names the certificate files of one listener.
+type TLS struct {
+	// Cert and Key are paths of PEM files; both or none.
+	Cert string `json:"cert,omitempty"`
+	Key  string `json:"key,omitempty"`
+	// CA is the path of the PEM file that clients are checked against. With
+	// it, a client without a certificate of that authority is refused.
+	CA string `json:"ca,omitempty"`
+}
+
+// Enabled reports whether the listener uses TLS.
+func (t TLS) Enabled() bool { return t.Cert != "" }
+
+// Listener is one address that the node accepts connections on.
+type Listener struct {
+	// Address is IP:port.
+	Address string `json:"address"`
+	TLS     TLS    `json:"tls,omitzero"`
+}
+
+// Settings of one node.
+type Settings struct {
+	Zone      string   `json:"zone"`
+	Region    string   `json:"region"`
+	Callers   Listener `json:"callers"`
+	Target    Listener `json:"target"`
+	Peers     Listener `json:"peers"`
+	Operators Listener `json:"operators"`
+	// Platform is the base URL of the object API.
+	Platform string `json:"platform"`
+	// Join lists addresses of peers that are tried besides those the platform
+	// names.
+	Join []string `json:"join,omitempty"`
+	// Secret is the fleet secret's place: "env:NAME" or "file:PATH".
+	Secret string `json:"secret"`
+	// Level is the least severe log level: debug, info, warning or error.
+	Level string `json:"level,omitempty"`
+	// Drain is the longest time that a planned stop waits for requests.
+	Drain Duration `json:"drain,omitzero"`
+
+	secret []byte
+}
+
+// Duration is a time.Duration written as a string such as "2s".
+type Duration time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return trace.BadParameter("a duration is a string such as \"2s\", not %s", data)
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		return trace.BadParameter("%q is no duration such as \"2s\"", text)
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// MarshalJSON implements json.Marshaler.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// Defaults returns a copy in which empty optional fields have their values.
+func (s Settings) Defaults() Settings {
+	if s.Level == "" {
+		s.Level = "info"
+	}
+	if s.Drain == 0 {
+		s.Drain = Duration(30 * time.Second)
+	}
+	return s
+}
+
+// Validate returns one error that names every field that is wrong.
+func (s Settings) Validate() error {
+	var errs []error
+	add := func(field, format string, args ...any) {
+		errs = append(errs, trace.BadParameter("%s: %s", field, fmt.Sprintf(format, args...)))
+	}
+	if s.Zone == "" {
+		add("zone", "must be set")
+	}
+	if s.Region == "" {
+		add("region", "must be set")
+	}
+	if !strings.HasPrefix(s.Platform, "http://") && !strings.HasPrefix(s.Platform, "https://") {
+		add("platform", "must be an http or https URL, got %q", s.Platform)
+	}
+	for _, l := range s.listeners() {
+		if _, _, err := net.SplitHostPort(l.Address); err != nil {
+			add(l.name+".address", "must be IP:port, got %q", l.Address)
+		}
+		if (l.TLS.Cert == "") != (l.TLS.Key == "") {
+			add(l.name+".tls", "cert and key must both be set")
+		}
+		if l.TLS.CA != "" && l.TLS.Cert == "" {
+			add(l.name+".tls", "ca needs cert and key")
+		}
+	}
+	for i, address := range s.Join {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			add(fmt.Sprintf("join[%d]", i), "must be IP:port, got %q", address)
+		}
+	}
+	switch s.Level {
+	case "debug", "info", "warning", "error":
+	default:
+		add("level", "must be debug, info, warning or error, got %q", s.Level)
+	}
+	if s.Drain < 0 {
+		add("drain", "must not be negative")
+	}
+	return trace.NewAggregate(errs...)
+}
+
+type namedListener struct {
+	Listener
+	name string
+}
+
+func (s Settings) listeners() []namedListener {
+	return []namedListener{
+		{s.Callers, "callers"},
+		{s.Target, "target"},
+		{s.Peers, "peers"},
+		{s.Operators, "operators"},
+	}
+}
+
+// WithSecret returns a copy that holds the fleet secret itself.
+func (s Settings) WithSecret(secret []byte) Settings {
+	s.secret = bytes.Clone(secret)
+	return s
+}
+
+// FleetSecret is the secret shared by all nodes. It is never encoded.
+func (s Settings) FleetSecret() []byte { return s.secret }
+
+// Parse reads settings in JSON with comments. Unknown fields are errors.
+func Parse(text []byte) (Settings, error) {
+	var s Settings
+	if err := Decode(text, &s); err != nil {
+		return s, fmt.Errorf("parse settings: %w", err)
+	}
+	s = s.Defaults()
+	if err := s.Validate(); err != nil {
+		return s, fmt.Errorf("validate settings: %w", err)
+	}
+	return s, nil
+}
+
+// Load reads the settings file and the fleet secret it points to.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", trace.ConvertSystemError(err))
+	}
+	s, err := Parse(text)
+	if err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	secret, err := readSecret(s.Secret)
+	if err != nil {
+		return s, fmt.Errorf("%s: secret: %w", path, err)
+	}
+	return s.WithSecret(secret), nil
+}
+
+func readSecret(place string) ([]byte, error) {
+	kind, name, _ := strings.Cut(place, ":")
+	var secret []byte
+	switch kind {
+	case "env":
+		secret = []byte(os.Getenv(name))
+	case "file":
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, fmt.Errorf("read secret: %w", trace.ConvertSystemError(err))
+		}
+		secret = bytes.TrimSpace(text)
+	default:
+		return nil, trace.BadParameter("must be env:NAME or file:PATH")
+	}
+	if len(secret) < minSecret {
+		return nil, trace.BadParameter("%s %s holds fewer than %d bytes", kind, name, minSecret)
+	}
+	return secret, nil
+}
+
+// Decode reads JSON with comments into v and refuses unknown fields and text
+// after the document. Errors carry the line.
+func Decode(text []byte, v any) error {
+	plain, err := hujson.Standardize(bytes.Clone(text))
+	if err != nil {
+		return trace.BadParameter("%v", err)
+	}
+	dec := json.NewDecoder(bytes.NewReader(plain))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		line := 1 + bytes.Count(plain[:min(int(dec.InputOffset()), len(plain))], []byte("\n"))
+		return trace.BadParameter("near line %d: %v", line, err)
+	}
+	if dec.More() {
+		return trace.BadParameter("text after the end of the document")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/gossip/gossip.go
@@ -0,0 +1,505 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/current"
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/core/ring"
+	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"chestnutshed.example/chestnutshed/internal/platform/object"
+	"chestnutshed.example/chestnutshed/internal/traffic/peers"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+)
+
+// Name of the service.
+const Name = "gossip"
+
+const (
+	// probeEvery is the time between probes of a random peer.
+	probeEvery = time.Second
+	// probeTimeout bounds one probe.
+	probeTimeout = 800 * time.Millisecond
+	// compareEvery is the number of probes between comparisons of all records.
+	compareEvery = 10
+	// reviveEvery is the number of probes between tries to reach a dead node.
+	reviveEvery = 5
+	// fanout is the number of peers that news is sent to at once.
+	fanout = 3
+	// helpers is the number of peers asked to probe a silent one.
+	helpers = 2
+	// newsRoom bounds news that waits to be sent.
+	newsRoom = 256
+	// maxMessage bounds a message, in bytes.
+	maxMessage = 8 << 20
+	// watchers is the number of nodes per availability zone that watch the
+	// platform.
+	watchers = 2
+)
+
+// Paths of the messages between nodes.
+const (
+	gossipPath = "/peer/gossip"
+	probePath  = "/peer/probe"
+	configPath = "/peer/config"
+)
+
+// Service keeps the table of members and spreads news.
+type Service struct {
+	settings settings.Settings
+	client   *peers.Client
+	config   *current.Service
+	store    *object.Client
+	log      *logrus.Entry
+	news     *ring.Ring[Message]
+
+	mu     sync.Mutex
+	table  *member.Table
+	topics []Topic
+
+	watching atomic.Bool
+	joined   atomic.Bool
+	messages atomic.Uint64
+}
+
+// New returns the service of a node with its own record.
+func New(s settings.Settings, self member.Record, client *peers.Client, config *current.Service, store *object.Client, log *logrus.Entry) *Service {
+	g := &Service{
+		settings: s,
+		client:   client,
+		config:   config,
+		store:    store,
+		log:      log,
+		news:     ring.New[Message](newsRoom),
+		table:    member.New(time.Now(), self),
+	}
+	g.topics = []Topic{(*memberTopic)(g)}
+	config.SetSource(g)
+	return g
+}
+
+// Share adds a topic; call it before the kernel starts the service.
+func (g *Service) Share(t Topic) { g.topics = append(g.topics, t) }
+
+// Routes adds the handlers to the peers' listener.
+func (g *Service) Routes(p *peers.Service) {
+	p.Handle("POST "+gossipPath, g.serveGossip)
+	p.Handle("POST "+probePath, g.serveProbe)
+	p.Handle("POST "+configPath, g.serveConfig)
+}
+
+// Table runs f with the table of members; f must not keep it.
+func (g *Service) Table(f func(t *member.Table)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g.table)
+}
+
+// Self is the node's own record.
+func (g *Service) Self() member.Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Self()
+}
+
+// Update changes the node's own record and tells peers.
+func (g *Service) Update(change func(member.Record) member.Record) {
+	g.mu.Lock()
+	r := g.table.Update(time.Now(), change)
+	g.mu.Unlock()
+	g.Tell(Message{Members: []member.Record{r}})
+}
+
+// Tell sends news to a few random peers.
+func (g *Service) Tell(m Message) {
+	if !m.Empty() {
+		g.news.Push(m)
+	}
+}
+
+// Spread implements current.Source.
+func (g *Service) Spread(h current.Head) { g.Tell(Message{Head: &h}) }
+
+// Watcher implements current.Source. A node that knows no other watches.
+func (g *Service) Watcher() bool { return g.watching.Load() }
+
+// FetchNews implements current.Source.
+func (g *Service) FetchNews(ctx context.Context, address string, have uint64) (current.News, error) {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	var news current.News
+	if err := g.client.Ask(ctx, address, configPath, configRequest{have}, &news); err != nil {
+		return news, fmt.Errorf("ask %s for its configuration: %w", address, err)
+	}
+	return news, nil
+}
+
+type configRequest struct {
+	Have uint64 `json:"have"`
+}
+
+func (g *Service) serveConfig(w http.ResponseWriter, r *http.Request) {
+	var ask configRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessage)).Decode(&ask); err != nil {
+		http.Error(w, "malformed message", http.StatusBadRequest)
+		return
+	}
+	reply(w, g.config.NewsSince(ask.Have))
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Name implements kernel.Service.
+func (g *Service) Name() string { return Name }
+
+// Start implements kernel.Service.
+func (g *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	g.watching.Store(true)
+	k.Go(g.probe)
+	k.Go(g.spread)
+	k.Go(g.rendezvous)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (g *Service) Stop(context.Context) error { return nil }
+
+// Leave tells peers that this node stops for good and who has its tickets. It
+// waits until some of them have heard it or ctx is done.
+func (g *Service) Leave(ctx context.Context, heir string) {
+	g.mu.Lock()
+	r := g.table.Update(time.Now(), func(r member.Record) member.Record {
+		r.Heir, r.Leaving, r.Proven = heir, true, true
+		return r.WithStatus(member.Left)
+	})
+	to := g.table.Pick(3*fanout, rand.IntN)
+	g.mu.Unlock()
+	g.send(ctx, to, Message{Members: []member.Record{r}})
+}
+
+// serveGossip takes a message and answers with what the sender lacks.
+func (g *Service) serveGossip(w http.ResponseWriter, r *http.Request) {
+	var m Message
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessage)).Decode(&m); err != nil {
+		http.Error(w, "malformed message", http.StatusBadRequest)
+		return
+	}
+	g.messages.Add(1)
+	now := time.Now()
+	g.Receive(now, m)
+	answer := g.hello()
+	answer.Members = g.viewOf(m.From)
+	if len(m.Sums) == buckets {
+		answer.Want = differing(m.Sums, sumsOf(g.topics))
+		answer = answer.WithRecords(gather(now, g.topics, answer.Want))
+	}
+	reply(w, answer)
+}
+
+// viewOf is what this node believes of a sender that it doubts.
+func (g *Service) viewOf(from member.Record) []member.Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r, ok := g.table.Get(from.ID)
+	if !ok || r.Status == member.Alive {
+		return nil
+	}
+	return []member.Record{r}
+}
+
+// Receive learns from a message and passes on what was news.
+func (g *Service) Receive(now time.Time, m Message) {
+	if m.From.ID != "" {
+		m.Members = append(m.Members, m.From)
+	}
+	var fresh Message
+	for _, t := range g.topics {
+		fresh = fresh.WithRecords(t.Learn(now, m))
+	}
+	if m.Head != nil {
+		g.config.Offered(current.Offer{Head: *m.Head, Address: m.From.Address})
+	}
+	g.Tell(fresh)
+}
+
+// hello is a message with nothing but who sends it and its configuration.
+func (g *Service) hello() Message {
+	m := Message{From: g.Self()}
+	if c := g.config.Get(); c != nil {
+		head := c.Head
+		head.Delta = nil
+		m.Head = &head
+	}
+	return m
+}
+
+// exchange sends a message and learns from the answer.
+func (g *Service) exchange(ctx context.Context, to string, m Message) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var answer Message
+	if err := g.client.Ask(ctx, to, gossipPath, m, &answer); err != nil {
+		return fmt.Errorf("gossip with %s: %w", to, err)
+	}
+	now := time.Now()
+	g.Receive(now, answer)
+	if len(answer.Want) == 0 {
+		return nil
+	}
+	back := gather(now, g.topics, answer.Want)
+	back.From = g.Self()
+	return g.client.Ask(ctx, to, gossipPath, back, &answer)
+}
+
+// probe checks a random peer every second.
+func (g *Service) probe(ctx context.Context) error {
+	ticker := time.NewTicker(probeEvery)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		g.expire()
+		g.watching.Store(g.isWatcher())
+		m := g.hello()
+		if round%compareEvery == 0 {
+			m.Sums = sumsOf(g.topics)
+		}
+		g.probeOne(ctx, m)
+		if round%reviveEvery == 0 {
+			g.revive(ctx)
+		}
+	}
+}
+
+func (g *Service) expire() {
+	g.mu.Lock()
+	changed := g.table.Expire(time.Now())
+	g.mu.Unlock()
+	g.Tell(Message{Members: changed})
+}
+
+func (g *Service) pick(n int) []member.Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Pick(n, rand.IntN)
+}
+
+func (g *Service) probeOne(ctx context.Context, m Message) {
+	for _, peer := range g.pick(1) {
+		err := g.exchange(ctx, peer.Address, m)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			g.Refused(peer.ID)
+			continue
+		}
+		if !g.probedByOthers(ctx, peer) {
+			g.doubt(peer)
+		}
+	}
+}
+
+// Refused notes that a node's port refuses connections: its process is gone.
+func (g *Service) Refused(id string) {
+	g.mu.Lock()
+	r, changed := g.table.Bury(time.Now(), id)
+	g.mu.Unlock()
+	if changed {
+		g.log.WithField("peer", r.Address).Warn("peer is gone: its port refuses connections")
+		g.Tell(Message{Members: []member.Record{r}})
+	}
+}
+
+// Unreached notes an error of a message to an address: a refused connection
+// tells that the node there is gone.
+func (g *Service) Unreached(address string, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	g.mu.Lock()
+	r, ok := g.table.At(address)
+	g.mu.Unlock()
+	if ok {
+		g.Refused(r.ID)
+	}
+}
+
+func (g *Service) doubt(peer member.Record) {
+	g.mu.Lock()
+	r, changed := g.table.Doubt(time.Now(), peer.ID)
+	g.mu.Unlock()
+	if changed {
+		g.log.WithField("peer", peer.Address).Warn("peer does not answer")
+		g.Tell(Message{Members: []member.Record{r}})
+	}
+}
+
+type probeRequest struct {
+	Address string `json:"addr"`
+}
+
+type probeReply struct {
+	Reached bool `json:"reached"`
+}
+
+// probedByOthers asks other nodes whether they reach a silent one.
+func (g *Service) probedByOthers(ctx context.Context, peer member.Record) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
+	defer cancel()
+	var reached atomic.Bool
+	group, ctx := errgroup.WithContext(ctx)
+	for _, helper := range g.pick(helpers) {
+		if helper.ID == peer.ID {
+			continue
+		}
+		group.Go(func() error {
+			var answer probeReply
+			if g.client.Ask(ctx, helper.Address, probePath, probeRequest{peer.Address}, &answer) == nil && answer.Reached {
+				reached.Store(true)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return reached.Load()
+}
+
+func (g *Service) serveProbe(w http.ResponseWriter, r *http.Request) {
+	var ask probeRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessage)).Decode(&ask); err != nil {
+		http.Error(w, "malformed message", http.StatusBadRequest)
+		return
+	}
+	err := g.exchange(r.Context(), ask.Address, g.hello())
+	reply(w, probeReply{Reached: err == nil})
+}
+
+// revive tries one node that counts as dead, so that both sides of a healed
+// network find each other again.
+func (g *Service) revive(ctx context.Context) {
+	var dead []member.Record
+	g.mu.Lock()
+	for _, r := range g.table.All() {
+		if r.Status == member.Dead && !r.Proven {
+			dead = append(dead, r)
+		}
+	}
+	g.mu.Unlock()
+	if len(dead) == 0 {
+		return
+	}
+	peer := dead[rand.IntN(len(dead))]
+	m := g.hello()
+	m.Members = []member.Record{peer}
+	_ = g.exchange(ctx, peer.Address, m)
+}
+
+// spread sends news to a few random peers as it comes.
+func (g *Service) spread(ctx context.Context) error {
+	for {
+		batch, err := g.news.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		var m Message
+		for _, one := range batch {
+			m = m.WithRecords(one)
+		}
+		g.send(ctx, g.pick(fanout), m)
+	}
+}
+
+func (g *Service) send(ctx context.Context, to []member.Record, m Message) {
+	m.From = g.Self()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, peer := range to {
+		group.Go(func() error {
+			_ = g.exchange(ctx, peer.Address, m)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// isWatcher reports whether this node is among the first of its zone.
+func (g *Service) isWatcher() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	self := g.table.Self()
+	before := 0
+	for _, r := range g.table.All() {
+		if r.Zone == self.Zone && r.Status == member.Alive && r.ID < self.ID {
+			before++
+		}
+	}
+	return before < watchers
+}
+
+// State implements kernel.Service.
+func (g *Service) State() any {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return struct {
+		Self     member.Record   `json:"self"`
+		Watcher  bool            `json:"watcher"`
+		Messages uint64          `json:"messages"`
+		Dropped  uint64          `json:"dropped"`
+		Members  []member.Record `json:"members"`
+	}{g.table.Self(), g.watching.Load(), g.messages.Load(), g.news.Dropped(), g.table.All()}
+}
+
+// memberTopic shares the table of members.
+type memberTopic Service
+
+// Learn implements Topic.
+func (t *memberTopic) Learn(now time.Time, m Message) Message {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var fresh Message
+	for _, r := range m.Members {
+		if news, ok := t.table.Learn(now, r); ok {
+			fresh.Members = append(fresh.Members, news)
+		}
+	}
+	return fresh
+}
+
+// Each implements Topic.
+func (t *memberTopic) Each(visit func(key string, hash uint64)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.table.All() {
+		visit(r.ID, r.Hash())
+	}
+}
+
+// Gather implements Topic.
+func (t *memberTopic) Gather(_ time.Time, match func(key string) bool) Message {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var m Message
+	for _, r := range t.table.All() {
+		if match(r.ID) {
+			m.Members = append(m.Members, r)
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/fleet/gossip/message.go
@@ -0,0 +1,97 @@
+// Package gossip spreads what changes among the nodes of the fleet: news goes
+// to a few random peers at once, and peers compare what they hold now and then.
+package gossip
+
+import (
+	"hash/fnv"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/current"
+	"chestnutshed.example/chestnutshed/internal/fleet/claim"
+	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"chestnutshed.example/chestnutshed/internal/policy/poison"
+)
+
+// buckets divide all records for comparison.
+const buckets = 256
+
+// Message is what one node tells another.
+type Message struct {
+	From    member.Record   `json:"from,omitzero"`
+	Members []member.Record `json:"members,omitempty"`
+	Claims  []claim.Record  `json:"claims,omitempty"`
+	Prints  []poison.Record `json:"prints,omitempty"`
+	// Head is the newest configuration that the sender has in force.
+	Head *current.Head `json:"head,omitempty"`
+	// Sums are checksums of the sender's records per bucket.
+	Sums []uint64 `json:"sums,omitempty"`
+	// Want lists buckets in which the sender's records differ.
+	Want []int `json:"want,omitempty"`
+}
+
+// Empty reports whether the message tells nothing new.
+func (m Message) Empty() bool {
+	return len(m.Members) == 0 && len(m.Claims) == 0 && len(m.Prints) == 0 && m.Head == nil
+}
+
+// WithRecords returns a message with the records of both.
+func (m Message) WithRecords(other Message) Message {
+	m.Members = append(append([]member.Record(nil), m.Members...), other.Members...)
+	m.Claims = append(append([]claim.Record(nil), m.Claims...), other.Claims...)
+	m.Prints = append(append([]poison.Record(nil), m.Prints...), other.Prints...)
+	if m.Head == nil || (other.Head != nil && other.Head.Version > m.Head.Version) {
+		m.Head = other.Head
+	}
+	return m
+}
+
+// Topic is one kind of records that a service shares through gossip.
+type Topic interface {
+	// Learn takes what is new in a message and returns that to be passed on.
+	Learn(now time.Time, m Message) Message
+	// Each calls visit with the key and the hash of every record.
+	Each(visit func(key string, hash uint64))
+	// Gather returns the records whose keys match.
+	Gather(now time.Time, match func(key string) bool) Message
+}
+
+func bucketOf(key string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(key))
+	return int(h.Sum32() % buckets)
+}
+
+// sumsOf returns the checksums of all topics' records.
+func sumsOf(topics []Topic) []uint64 {
+	sums := make([]uint64, buckets)
+	for _, t := range topics {
+		t.Each(func(key string, hash uint64) { sums[bucketOf(key)] ^= hash })
+	}
+	return sums
+}
+
+// differing lists the buckets in which two checksums differ.
+func differing(a, b []uint64) []int {
+	var list []int
+	for i := range min(len(a), len(b)) {
+		if a[i] != b[i] {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// gather returns all topics' records of some buckets.
+func gather(now time.Time, topics []Topic, list []int) Message {
+	wanted := [buckets]bool{}
+	for _, b := range list {
+		if b >= 0 && b < buckets {
+			wanted[b] = true
+		}
+	}
+	var m Message
+	for _, t := range topics {
+		m = m.WithRecords(t.Gather(now, func(key string) bool { return wanted[bucketOf(key)] }))
+	}
+	return m
+}
--- /dev/null
+++ b/internal/fleet/member/member.go
@@ -0,0 +1,382 @@
+// Package member holds what a node knows about the nodes of its fleet.
+//
+// Each node owns its record and raises its beat when it changes; others may
+// only doubt it. A record with a greater beat replaces one with a smaller; at
+// the same beat, left outranks dead, dead outranks suspect, suspect outranks
+// alive. A new incarnation at an address ends the one before it.
+package member
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Status is how a node is seen.
+type Status int
+
+// The statuses, in the order in which they outrank each other.
+const (
+	Alive Status = iota
+	Suspect
+	Dead
+	Left
+)
+
+var statusNames = [...]string{"alive", "suspect", "dead", "left"}
+
+// String returns the name shown to operators.
+func (s Status) String() string {
+	if s < 0 || int(s) >= len(statusNames) {
+		return "status(" + strconv.Itoa(int(s)) + ")"
+	}
+	return statusNames[s]
+}
+
+// Record is what is told about one node.
+type Record struct {
+	// ID is the node's incarnation.
+	ID string `json:"id"`
+	// Address is its peers' listener, IP:port.
+	Address string `json:"addr"`
+	// Operators is its operators' listener, IP:port.
+	Operators string `json:"ops,omitempty"`
+	Zone      string `json:"zone"`
+	Region    string `json:"region"`
+	// Started orders incarnations at one address, in Unix nanoseconds.
+	Started int64  `json:"start"`
+	Beat    uint64 `json:"beat"`
+	Status  Status `json:"status,omitempty"`
+	// Service and Slots describe its target while that is ready.
+	Service string `json:"svc,omitempty"`
+	Slots   int    `json:"slots,omitempty"`
+	// Instance is the target's own incarnation.
+	Instance string `json:"inst,omitempty"`
+	// Failing is set while the target fails most requests.
+	Failing bool `json:"fail,omitempty"`
+	// Leaving is set when the node takes no new work.
+	Leaving bool `json:"leave,omitempty"`
+	// Proven is set on a gone node when there is positive evidence that it runs
+	// no more: its port refuses, it said so, or another incarnation followed.
+	Proven bool `json:"proven,omitempty"`
+	// Heir is the node that keeps the tickets of one that left.
+	Heir string `json:"heir,omitempty"`
+	// Config is the configuration version when the record was last changed.
+	Config uint64 `json:"config,omitempty"`
+}
+
+// WithStatus returns a copy with another status.
+func (r Record) WithStatus(s Status) Record {
+	r.Status = s
+	return r
+}
+
+func (r Record) proven(s Status) Record {
+	r.Status = max(r.Status, s)
+	r.Proven = true
+	return r
+}
+
+// WithBeat returns a copy with another beat.
+func (r Record) WithBeat(beat uint64) Record {
+	r.Beat = beat
+	return r
+}
+
+// Gone reports whether the node runs no more, as far as is known.
+func (r Record) Gone() bool { return r.Status == Dead || r.Status == Left }
+
+// Serves reports whether the node takes new calls for a service.
+func (r Record) Serves(service string) bool {
+	return r.Service == service && !r.Gone() && !r.Leaving && r.Slots > 0
+}
+
+// Hash is equal for equal states of a record.
+func (r Record) Hash() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(r.ID))
+	_, _ = h.Write([]byte(strconv.FormatUint(r.Beat, 16)))
+	_, _ = h.Write([]byte{byte(r.Status)})
+	_, _ = h.Write(strconv.AppendBool(nil, r.Proven))
+	return h.Sum64()
+}
+
+const (
+	// suspectTime is how long a suspect has to answer before it counts as dead.
+	suspectTime = 3 * time.Second
+	// goneTime is how long records of gone nodes are kept, so that late news
+	// of them isn't taken for new nodes.
+	goneTime = 10 * time.Minute
+)
+
+type entry struct {
+	record  Record
+	changed time.Time
+	// ready is when this node first heard of the present target.
+	ready time.Time
+}
+
+// Table holds the records of all nodes known. It is not safe for concurrent
+// use.
+type Table struct {
+	self      string
+	entries   map[string]*entry
+	byAddress map[string]string
+	byService map[string][]string
+	// order lists IDs for random choice without walking the map.
+	order []string
+	began time.Time
+}
+
+// New returns a table that holds the node's own record.
+func New(now time.Time, self Record) *Table {
+	t := &Table{
+		self:      self.ID,
+		entries:   map[string]*entry{},
+		byAddress: map[string]string{},
+		byService: map[string][]string{},
+		began:     now,
+	}
+	t.put(now, self)
+	return t
+}
+
+// Self is the node's own record.
+func (t *Table) Self() Record { return t.entries[t.self].record }
+
+// Update changes the own record and raises its beat.
+func (t *Table) Update(now time.Time, change func(Record) Record) Record {
+	own := t.Self()
+	next := change(own).WithBeat(own.Beat + 1)
+	t.put(now, next)
+	return next
+}
+
+// Learn joins a record heard from another node. It returns the record to pass
+// on and true when it was news. News that doubts the own record is answered by
+// a record with a greater beat.
+func (t *Table) Learn(now time.Time, r Record) (Record, bool) {
+	if r.ID == "" || r.Address == "" {
+		return r, false
+	}
+	if r.ID == t.self {
+		return t.refute(now, r)
+	}
+	if e, ok := t.entries[r.ID]; ok && !outranks(r, e.record) {
+		return r, false
+	}
+	if other, ok := t.byAddress[r.Address]; ok && other != r.ID {
+		if t.entries[other].record.Started > r.Started {
+			r = r.proven(Dead)
+		} else if !t.end(now, other) {
+			return r, false
+		}
+	}
+	t.put(now, r)
+	return r, true
+}
+
+// end marks the incarnation that another one has followed.
+func (t *Table) end(now time.Time, id string) bool {
+	if id == t.self {
+		return false
+	}
+	e := t.entries[id]
+	if !e.record.Proven {
+		t.put(now, e.record.proven(Dead))
+	}
+	return true
+}
+
+func (t *Table) refute(now time.Time, r Record) (Record, bool) {
+	own := t.Self()
+	doubted := r.Beat >= own.Beat && (r.Status == Suspect || r.Status == Dead)
+	if !doubted || own.Status == Left {
+		return own, false
+	}
+	own = own.WithBeat(r.Beat + 1)
+	t.put(now, own)
+	return own, true
+}
+
+func outranks(r, known Record) bool {
+	if known.Status == Left {
+		return r.Status == Left && r.Beat > known.Beat
+	}
+	if r.Beat != known.Beat {
+		return r.Beat > known.Beat
+	}
+	if r.Proven != known.Proven {
+		return r.Proven
+	}
+	return r.Status > known.Status
+}
+
+func (t *Table) put(now time.Time, r Record) {
+	e, ok := t.entries[r.ID]
+	if !ok {
+		e = &entry{}
+		t.entries[r.ID] = e
+		t.order = append(t.order, r.ID)
+	}
+	if e.record.Service != r.Service || !ok {
+		t.index(e.record, r)
+	}
+	if e.record.Instance != r.Instance && r.Instance != "" && now.Sub(t.began) > suspectTime {
+		e.ready = now
+	}
+	if !r.Gone() {
+		t.byAddress[r.Address] = r.ID
+	}
+	e.record, e.changed = r, now
+}
+
+func (t *Table) index(old, r Record) {
+	if old.Service != "" {
+		t.byService[old.Service] = slices.DeleteFunc(t.byService[old.Service], func(id string) bool { return id == r.ID })
+	}
+	if r.Service != "" {
+		t.byService[r.Service] = append(t.byService[r.Service], r.ID)
+	}
+}
+
+// Doubt marks a node that did not answer as a suspect. It returns the record
+// to pass on.
+func (t *Table) Doubt(now time.Time, id string) (Record, bool) {
+	e, ok := t.entries[id]
+	if !ok || e.record.Status != Alive || id == t.self {
+		return Record{}, false
+	}
+	r := e.record.WithStatus(Suspect)
+	t.put(now, r)
+	return r, true
+}
+
+// Bury marks a node as dead on positive evidence: its port refuses.
+func (t *Table) Bury(now time.Time, id string) (Record, bool) {
+	e, ok := t.entries[id]
+	if !ok || e.record.Proven || id == t.self {
+		return Record{}, false
+	}
+	r := e.record.proven(Dead)
+	t.put(now, r)
+	return r, true
+}
+
+// Expire turns suspects that did not answer in time into dead ones and forgets
+// nodes that are long gone. It returns the records to pass on.
+func (t *Table) Expire(now time.Time) []Record {
+	var changed []Record
+	for id, e := range t.entries {
+		age := now.Sub(e.changed)
+		switch {
+		case e.record.Status == Suspect && age > suspectTime:
+			r := e.record.WithStatus(Dead)
+			t.put(now, r)
+			changed = append(changed, r)
+		case e.record.Gone() && age > goneTime && id != t.self:
+			t.forget(id)
+		}
+	}
+	return changed
+}
+
+func (t *Table) forget(id string) {
+	r := t.entries[id].record
+	delete(t.entries, id)
+	if t.byAddress[r.Address] == id {
+		delete(t.byAddress, r.Address)
+	}
+	t.index(r, Record{ID: id})
+	t.order = slices.DeleteFunc(t.order, func(other string) bool { return other == id })
+}
+
+// Get returns the record of an incarnation.
+func (t *Table) Get(id string) (Record, bool) {
+	e, ok := t.entries[id]
+	if !ok {
+		return Record{}, false
+	}
+	return e.record, true
+}
+
+// At returns the record of the incarnation last known at an address.
+func (t *Table) At(address string) (Record, bool) {
+	return t.Get(t.byAddress[address])
+}
+
+// Heir follows the heirs of nodes that left to the node that has their tickets
+// now.
+func (t *Table) Heir(id string) (Record, bool) {
+	for range 16 {
+		r, ok := t.Get(id)
+		if !ok || r.Heir == "" {
+			return r, ok
+		}
+		id = r.Heir
+	}
+	return Record{}, false
+}
+
+// Ready is when this node first heard of the present target of a node; zero if
+// it was there before this node.
+func (t *Table) Ready(id string) time.Time {
+	if e, ok := t.entries[id]; ok {
+		return e.ready
+	}
+	return time.Time{}
+}
+
+// Serving returns the records of nodes that take calls for a service.
+func (t *Table) Serving(service string) []Record {
+	var found []Record
+	for _, id := range t.byService[service] {
+		if r := t.entries[id].record; r.Serves(service) {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// All returns all records, ordered by address.
+func (t *Table) All() []Record {
+	all := make([]Record, 0, len(t.entries))
+	for _, e := range t.entries {
+		all = append(all, e.record)
+	}
+	slices.SortFunc(all, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.ID, b.ID))
+	})
+	return all
+}
+
+// Pick returns up to n different nodes, other than this one, that seem to run.
+// Next returns a number below its argument.
+func (t *Table) Pick(n int, next func(int) int) []Record {
+	var picked []Record
+	for tries := 0; tries < 4*n+8 && len(picked) < n; tries++ {
+		id := t.order[next(len(t.order))]
+		r := t.entries[id].record
+		if id == t.self || r.Gone() || slices.ContainsFunc(picked, func(o Record) bool { return o.ID == id }) {
+			continue
+		}
+		picked = append(picked, r)
+	}
+	return picked
+}
+
+// Alive is the number of nodes that seem to run, this one included.
+func (t *Table) Alive() int {
+	n := 0
+	for _, e := range t.entries {
+		if !e.record.Gone() {
+			n++
+		}
+	}
+	return n
+}
+
+// Len is the number of records.
+func (t *Table) Len() int { return len(t.entries) }
--- /dev/null
+++ b/internal/policy/bucket/bucket.go
@@ -0,0 +1,213 @@
+// Package bucket divides an organisation's fleet-wide rate and burst.
+//
+// The bucket is cut into parts, each with one holder. Nodes draw batches of
+// tokens that are debited at the holder when granted. The level of a part plus
+// its tokens outstanding never exceeds the part's burst, so over any window no
+// more than burst plus rate times the window is spent, whatever the nodes do.
+package bucket
+
+import (
+	"math"
+	"time"
+)
+
+// TokenLife is how long a drawn token can be spent, as the drawer counts it
+// from before it asked.
+const TokenLife = 2 * time.Second
+
+// lapsedShare is the part of rate and burst that a holder keeps after its
+// lease has lapsed; the rest is its successor's.
+const lapsedShare = 0.5
+
+// outShare is the part of the burst that may be outstanding at drawers, so
+// that a successor knows how much of it its predecessor can have left behind.
+const outShare = 0.5
+
+// Claim is how much of a part a holder may hand out.
+type Claim int
+
+// The claims of a holder. Whole needs a lease in force and no doubt about the
+// former holder; Remainder is a successor's while the former may still run;
+// Lapsed is a holder's whose lease is no longer in force.
+const (
+	Whole Claim = iota
+	Remainder
+	Lapsed
+)
+
+// String is the name shown to operators.
+func (c Claim) String() string {
+	switch c {
+	case Remainder:
+		return "remainder"
+	case Lapsed:
+		return "lapsed"
+	}
+	return "whole"
+}
+
+func (c Claim) factor() float64 {
+	switch c {
+	case Remainder:
+		return 1 - lapsedShare
+	case Lapsed:
+		return lapsedShare
+	}
+	return 1
+}
+
+// Terms are the rate in tokens a second and the burst in tokens of one part.
+type Terms struct {
+	Rate  float64
+	Burst float64
+}
+
+// Divide returns the terms of one of n equal parts.
+func (t Terms) Divide(n int) Terms {
+	return Terms{Rate: t.Rate / float64(n), Burst: t.Burst / float64(n)}
+}
+
+type grant struct {
+	drawer string
+	tokens float64
+	until  time.Time
+}
+
+// Part is the state of one part at its holder. It is not safe for concurrent
+// use.
+type Part struct {
+	terms  Terms
+	claim  Claim
+	level  float64
+	at     time.Time
+	grants []grant
+}
+
+// NewPart returns the part of a successor. It starts empty, and what the
+// former holder may still have outstanding counts against its burst.
+func NewPart(now time.Time, terms Terms, claim Claim) *Part {
+	former := grant{tokens: terms.Burst * claim.factor() * outShare, until: now.Add(TokenLife)}
+	return &Part{terms: terms, claim: claim, at: now, grants: []grant{former}}
+}
+
+// NewFullPart returns a full part, for an organisation that never had tokens.
+func NewFullPart(now time.Time, terms Terms) *Part {
+	return &Part{terms: terms, level: terms.Burst, at: now}
+}
+
+// SetTerms changes rate and burst.
+func (p *Part) SetTerms(now time.Time, terms Terms) {
+	p.refill(now)
+	p.terms = terms
+	p.cap()
+}
+
+// SetClaim changes how much of the part may be handed out.
+func (p *Part) SetClaim(now time.Time, claim Claim) {
+	p.refill(now)
+	p.claim = claim
+	p.cap()
+}
+
+// Claim is the present claim.
+func (p *Part) Claim() Claim { return p.claim }
+
+// refill adds what the time since the last call brought. Expired grants count
+// as spent: only the drawer knows whether they were.
+func (p *Part) refill(now time.Time) {
+	kept := p.grants[:0]
+	for _, g := range p.grants {
+		if now.Before(g.until) && g.tokens > 0 {
+			kept = append(kept, g)
+		}
+	}
+	p.grants = kept
+	elapsed := now.Sub(p.at).Seconds()
+	if elapsed > 0 {
+		p.level += elapsed * p.terms.Rate * p.claim.factor()
+		p.at = now
+	}
+	p.cap()
+}
+
+// cap keeps level plus outstanding within the burst.
+func (p *Part) cap() {
+	room := p.terms.Burst*p.claim.factor() - p.Outstanding()
+	p.level = max(0, min(p.level, room))
+}
+
+// Outstanding is the number of tokens granted that may still be spent.
+func (p *Part) Outstanding() float64 {
+	sum := 0.0
+	for _, g := range p.grants {
+		sum += g.tokens
+	}
+	return sum
+}
+
+// Level is the number of tokens that can be granted now.
+func (p *Part) Level(now time.Time) float64 {
+	p.refill(now)
+	return p.level
+}
+
+// AddLevel adds tokens that a former holder handed over.
+func (p *Part) AddLevel(now time.Time, tokens float64) {
+	p.refill(now)
+	p.level += max(tokens, 0)
+	p.cap()
+}
+
+// Ask is one request of a drawer.
+type Ask struct {
+	Drawer string `json:"drawer"`
+	// Want is the number of tokens asked for.
+	Want int `json:"want"`
+	// Spent and Unspent are how many tokens of earlier grants were used, and
+	// how many ran out and never will be. Each is reported once: a report
+	// whose answer is lost is not sent again.
+	Spent   int `json:"spent,omitempty"`
+	Unspent int `json:"unspent,omitempty"`
+}
+
+// Draw settles the drawer's earlier grants and grants whole tokens, at most as
+// many as it wants.
+func (p *Part) Draw(now time.Time, ask Ask) int {
+	p.settle(ask.Drawer, float64(ask.Spent))
+	p.settle(ask.Drawer, float64(ask.Unspent))
+	p.refill(now)
+	p.level += float64(ask.Unspent)
+	p.cap()
+	room := max(1, p.terms.Burst*p.claim.factor()*outShare) - p.Outstanding()
+	n := min(ask.Want, int(math.Floor(min(p.level, room)+1e-9)))
+	if n <= 0 {
+		return 0
+	}
+	p.level -= float64(n)
+	p.grants = append(p.grants, grant{ask.Drawer, float64(n), now.Add(TokenLife)})
+	return n
+}
+
+// settle takes used tokens off a drawer's oldest grants.
+func (p *Part) settle(drawer string, spent float64) {
+	for i := range p.grants {
+		g := &p.grants[i]
+		if g.drawer != drawer {
+			continue
+		}
+		used := min(g.tokens, spent)
+		g.tokens -= used
+		spent -= used
+	}
+}
+
+// Extend moves the expiry of the newest grant to count from after the answer
+// was sent.
+func (p *Part) Extend(now time.Time, drawer string) {
+	for i := len(p.grants) - 1; i >= 0; i-- {
+		if p.grants[i].drawer == drawer {
+			p.grants[i].until = now.Add(TokenLife)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/policy/bucket/purse.go
@@ -0,0 +1,111 @@
+package bucket
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// ahead is how much demand a drawer keeps tokens for.
+	ahead = 500 * time.Millisecond
+	// demandMemory is the time constant of a drawer's demand estimate.
+	demandMemory = time.Second
+	// dryWait is how long a drawer that got nothing waits before it asks again.
+	dryWait = 20 * time.Millisecond
+)
+
+// Purse holds the tokens that one node has drawn for one organisation. It is
+// not safe for concurrent use.
+type Purse struct {
+	batches []batch
+	spent   map[int]int
+	unspent map[int]int
+	demand  float64
+	at      time.Time
+	dryTill time.Time
+}
+
+type batch struct {
+	part   int
+	tokens int
+	until  time.Time
+}
+
+// NewPurse returns an empty purse.
+func NewPurse() *Purse {
+	return &Purse{spent: map[int]int{}, unspent: map[int]int{}}
+}
+
+// Spend uses one token. It reports false when there is none.
+func (p *Purse) Spend(now time.Time) bool {
+	for i := range p.batches {
+		b := &p.batches[i]
+		if b.tokens == 0 || !now.Before(b.until) {
+			continue
+		}
+		b.tokens--
+		p.spent[b.part]++
+		return true
+	}
+	return false
+}
+
+// Count adds one request to the demand estimate.
+func (p *Purse) Count(now time.Time) {
+	elapsed := now.Sub(p.at).Seconds()
+	if p.at.IsZero() {
+		elapsed = math.Inf(1)
+	}
+	p.demand = p.demand*math.Exp(-elapsed/demandMemory.Seconds()) + 1/demandMemory.Seconds()
+	p.at = now
+}
+
+// Want is the number of tokens to draw now: what the demand of the next half
+// second needs beyond what is held, and at least one for a request that waits.
+func (p *Purse) Want(now time.Time, waiting int) int {
+	if now.Before(p.dryTill) {
+		return 0
+	}
+	elapsed := now.Sub(p.at).Seconds()
+	demand := p.demand * math.Exp(-elapsed/demandMemory.Seconds())
+	need := waiting + int(math.Ceil(demand*ahead.Seconds()))
+	return max(0, need-p.Held(now))
+}
+
+// Held is the number of tokens that can be spent now.
+func (p *Purse) Held(now time.Time) int {
+	held := 0
+	kept := p.batches[:0]
+	for _, b := range p.batches {
+		switch {
+		case b.tokens == 0:
+		case now.Before(b.until):
+			held += b.tokens
+			kept = append(kept, b)
+		default:
+			p.unspent[b.part] += b.tokens
+		}
+	}
+	p.batches = kept
+	return held
+}
+
+// Ask returns what to ask the holder of a part for. The counts in it are
+// handed over: they are not reported again.
+func (p *Purse) Ask(now time.Time, drawer string, part, want int) Ask {
+	p.Held(now)
+	ask := Ask{Drawer: drawer, Want: want, Spent: p.spent[part], Unspent: p.unspent[part]}
+	delete(p.spent, part)
+	delete(p.unspent, part)
+	return ask
+}
+
+// Add puts drawn tokens into the purse. Asked is when the drawer began to ask.
+func (p *Purse) Add(asked time.Time, part, tokens int) {
+	if tokens > 0 {
+		p.batches = append(p.batches, batch{part, tokens, asked.Add(TokenLife)})
+	}
+}
+
+// Dry notes that no holder had a token.
+func (p *Purse) Dry(now time.Time) { p.dryTill = now.Add(dryWait) }
--- /dev/null
+++ b/internal/policy/choice/choice.go
@@ -0,0 +1,276 @@
+// Package choice picks the node that a call is sent to.
+//
+// Of the candidates that admit the call, two random ones are compared by load
+// and recent outcome; the candidates of the caller's own availability zone
+// come first while one of them has room. What this node observed outranks what
+// a target reports about itself.
+package choice
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
+)
+
+const (
+	// cutLife is how long a cut is believed after it was heard. Afterwards the
+	// next call goes through and hears the present one.
+	cutLife = 500 * time.Millisecond
+	// loadLife is how long a reported load is believed.
+	loadLife = 2 * time.Second
+	// room is the load below which the own availability zone is preferred.
+	room = 0.9
+	// warmTime is how long a new target gets less than its share.
+	warmTime = 10 * time.Second
+	// ejectAfter is the number of failures in a row that eject a candidate.
+	ejectAfter = 3
+	// minEject and maxEject bound how long a candidate is left out.
+	minEject = 500 * time.Millisecond
+	maxEject = 10 * time.Second
+)
+
+// Candidate is a node that serves a target of the wanted service.
+type Candidate struct {
+	// ID is the incarnation of the node.
+	ID string
+	// Address is its peers' listener, IP:port.
+	Address string
+	Zone    string
+	// Slots is the announced size of its target.
+	Slots int
+	// Since is when the target became ready; zero if long ago.
+	Since time.Time
+	// Failing is what the node says of its own target.
+	Failing bool
+}
+
+// observed is what this node has seen of a candidate.
+type observed struct {
+	inFlight  int
+	load      float64
+	loadAt    time.Time
+	cuts      map[string]heard
+	failures  int
+	ejections int
+	outUntil  time.Time
+}
+
+type heard struct {
+	cut priority.Cut
+	at  time.Time
+}
+
+// Chooser remembers what came of earlier calls. It is not safe for concurrent
+// use.
+type Chooser struct {
+	zone   string
+	random *rand.Rand
+	seen   map[string]*observed
+}
+
+// New returns a chooser for a node in an availability zone.
+func New(zone string, random *rand.Rand) *Chooser {
+	return &Chooser{zone: zone, random: random, seen: map[string]*observed{}}
+}
+
+// Call is what a choice is made for.
+type Call struct {
+	Route string
+	Score priority.Score
+	Depth int
+	// Tried are the IDs of candidates that must not be taken again.
+	Tried []string
+}
+
+// Pick is a candidate and whether it was taken although it fails.
+type Pick struct {
+	Candidate Candidate
+	// Forced is set when every candidate seems to fail.
+	Forced bool
+}
+
+// Choose returns the candidate for a call. It returns failure.Overload when
+// all refuse the call's score and failure.NoTarget when there is none.
+func (c *Chooser) Choose(now time.Time, all []Candidate, call Call) (Pick, *failure.Refusal) {
+	untried := without(all, call.Tried)
+	if len(untried) == 0 {
+		return Pick{}, failure.New(failure.NoTarget, "no other target of the service")
+	}
+	forced := false
+	usable := c.filter(untried, func(k Candidate, o *observed) bool {
+		return !k.Failing && !now.Before(o.outUntil)
+	})
+	if len(usable) == 0 {
+		usable, forced = untried, true
+	}
+	admitting := c.filter(usable, func(_ Candidate, o *observed) bool {
+		return o.admits(now, call)
+	})
+	if len(admitting) == 0 {
+		return Pick{}, failure.New(failure.Overload, "every target of the service is overloaded")
+	}
+	return Pick{Candidate: c.better(now, c.near(now, admitting)), Forced: forced}, nil
+}
+
+func without(all []Candidate, tried []string) []Candidate {
+	if len(tried) == 0 {
+		return all
+	}
+	var rest []Candidate
+	for _, k := range all {
+		found := false
+		for _, id := range tried {
+			found = found || id == k.ID
+		}
+		if !found {
+			rest = append(rest, k)
+		}
+	}
+	return rest
+}
+
+func (c *Chooser) filter(all []Candidate, keep func(Candidate, *observed) bool) []Candidate {
+	kept := make([]Candidate, 0, len(all))
+	for _, k := range all {
+		if keep(k, c.of(k.ID)) {
+			kept = append(kept, k)
+		}
+	}
+	return kept
+}
+
+func (o *observed) admits(now time.Time, call Call) bool {
+	h, ok := o.cuts[call.Route]
+	if !ok || now.Sub(h.at) > cutLife {
+		return true
+	}
+	return h.cut.Admits(call.Score, call.Depth)
+}
+
+// near keeps the candidates of the own zone when one of them has room.
+func (c *Chooser) near(now time.Time, all []Candidate) []Candidate {
+	var own []Candidate
+	hasRoom := false
+	for _, k := range all {
+		if k.Zone != c.zone {
+			continue
+		}
+		own = append(own, k)
+		hasRoom = hasRoom || c.loadOf(now, k) < room
+	}
+	if hasRoom {
+		return own
+	}
+	return all
+}
+
+// better compares two random candidates.
+func (c *Chooser) better(now time.Time, all []Candidate) Candidate {
+	if len(all) == 1 {
+		return all[0]
+	}
+	i := c.random.IntN(len(all))
+	j := c.random.IntN(len(all) - 1)
+	if j >= i {
+		j++
+	}
+	if c.loadOf(now, all[j]) < c.loadOf(now, all[i]) {
+		return all[j]
+	}
+	return all[i]
+}
+
+// loadOf joins the load that the candidate reported with the calls that this
+// node has there, and scales it up while the target is warming.
+func (c *Chooser) loadOf(now time.Time, k Candidate) float64 {
+	o := c.of(k.ID)
+	load := float64(o.inFlight+1) / float64(max(k.Slots, 1))
+	if now.Sub(o.loadAt) < loadLife {
+		load = max(load, o.load)
+	}
+	if age := now.Sub(k.Since); !k.Since.IsZero() && age < warmTime {
+		load *= float64(warmTime) / float64(max(age, warmTime/20))
+	}
+	return load
+}
+
+func (c *Chooser) of(id string) *observed {
+	o, ok := c.seen[id]
+	if !ok {
+		o = &observed{cuts: map[string]heard{}}
+		c.seen[id] = o
+	}
+	return o
+}
+
+// Sent counts a call that goes to a candidate.
+func (c *Chooser) Sent(id string) { c.of(id).inFlight++ }
+
+// Report is what a candidate's answer said.
+type Report struct {
+	Route string
+	// Load and Cut come with every answer of a node.
+	Load float64
+	Cut  priority.Cut
+}
+
+// Answered notes an answer of the candidate's node, whatever it said.
+func (c *Chooser) Answered(now time.Time, id string, r Report) {
+	o := c.of(id)
+	o.inFlight = max(0, o.inFlight-1)
+	o.load, o.loadAt = r.Load, now
+	o.cuts[r.Route] = heard{cut: r.Cut, at: now}
+	o.failures, o.ejections = 0, 0
+	o.outUntil = time.Time{}
+}
+
+// Failed notes a call without an answer from the candidate's node.
+func (c *Chooser) Failed(now time.Time, id string) {
+	o := c.of(id)
+	o.inFlight = max(0, o.inFlight-1)
+	o.failures++
+	if o.failures < ejectAfter {
+		return
+	}
+	out := min(minEject<<min(o.ejections, 8), maxEject)
+	o.outUntil = now.Add(out)
+	o.ejections++
+	o.failures = ejectAfter - 1
+}
+
+// Withdrawn notes a call that ended for the caller's own reasons.
+func (c *Chooser) Withdrawn(id string) {
+	o := c.of(id)
+	o.inFlight = max(0, o.inFlight-1)
+}
+
+// Cut is the most that any candidate admits for a route; Open when nothing
+// recent is known of one of them.
+func (c *Chooser) Cut(now time.Time, all []Candidate, route string) priority.Cut {
+	most, known := priority.Closed, false
+	for _, k := range all {
+		h, ok := c.of(k.ID).cuts[route]
+		if !ok || now.Sub(h.at) > cutLife {
+			continue
+		}
+		most, known = max(most, h.cut), true
+	}
+	if !known {
+		return priority.Open
+	}
+	return most
+}
+
+// Keep forgets candidates that are gone and idle.
+func (c *Chooser) Keep(present func(id string) bool) {
+	for id, o := range c.seen {
+		if !present(id) && o.inFlight == 0 {
+			delete(c.seen, id)
+		}
+	}
+}
+
+// Known is the number of candidates remembered.
+func (c *Chooser) Known() int { return len(c.seen) }
--- /dev/null
+++ b/internal/policy/gate/gate.go
@@ -0,0 +1,336 @@
+// Package gate admits requests to one target: it joins the concurrency limit,
+// the queue and the level, and is the only place that hands out slots.
+package gate
+
+import (
+	"math"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/level"
+	"chestnutshed.example/chestnutshed/internal/policy/limit"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
+	"chestnutshed.example/chestnutshed/internal/policy/queue"
+)
+
+const (
+	// queuePerSlot bounds the queue, in items per slot.
+	queuePerSlot = 2
+	// minQueue is the least bound of the queue, in items.
+	minQueue = 8
+	// holdMemory is the weight of the newest sample in the mean holding time.
+	holdMemory = 0.05
+	// hopeless is the part of the mean holding time below which the rest of a
+	// deadline isn't enough to start.
+	hopeless = 0.5
+)
+
+// Rules choose the variants of a gate.
+type Rules struct {
+	// Order of the queue.
+	Order queue.Order
+	// Levels switches the early cut on.
+	Levels bool
+	// Adaptive lets the target's refusals lower the limit.
+	Adaptive bool
+}
+
+// Standard are the rules that nodes run with.
+func Standard() Rules {
+	return Rules{Order: queue.ByRank{}, Levels: true, Adaptive: true}
+}
+
+// Request is one request offered to the gate.
+type Request struct {
+	ID           uint64
+	Route        string
+	Score        priority.Score
+	Organisation string
+	Share        float64
+	Depth        int
+	Deadline     time.Time
+}
+
+// Verdict is the answer to an offer: Start, Wait or Refuse.
+type Verdict interface{ verdict() }
+
+// Start means that the request has a slot.
+type Start struct{}
+
+// Wait means that the request is in the queue; it starts or is left out later.
+type Wait struct{}
+
+// Refuse means that the request did not run.
+type Refuse struct {
+	Reason failure.Reason
+	After  time.Duration
+}
+
+func (Start) verdict()  {}
+func (Wait) verdict()   {}
+func (Refuse) verdict() {}
+
+// Left is a waiting request that will not run.
+type Left struct {
+	ID     uint64
+	Reason failure.Reason
+}
+
+// Moves are the waiting requests that changed state: those that have a slot
+// now and those that won't get one.
+type Moves struct {
+	Started []uint64
+	Left    []Left
+}
+
+// Result is how a request that held a slot ended.
+type Result int
+
+// The results of a request that held a slot.
+const (
+	Answered Result = iota
+	// Rejected means that the target refused it for overload.
+	Rejected
+	// Aborted tells nothing about the target.
+	Aborted
+)
+
+type running struct {
+	route string
+	since time.Time
+}
+
+// Gate is the admission state of one target. It is not safe for concurrent
+// use.
+type Gate struct {
+	rules Rules
+	limit limit.Limit
+	queue *queue.Queue
+	level *level.Level
+
+	running map[uint64]running
+	waiting map[uint64]Request
+	hold    map[string]float64
+
+	tickAt  time.Time
+	busyAt  time.Time
+	busySum float64
+	done    int
+}
+
+// New returns a gate without slots.
+func New(rules Rules) *Gate {
+	return &Gate{
+		rules:   rules,
+		limit:   limit.New(0),
+		queue:   queue.New(rules.Order, minQueue),
+		level:   level.New(),
+		running: map[uint64]running{},
+		waiting: map[uint64]Request{},
+		hold:    map[string]float64{},
+	}
+}
+
+// SetSlots changes the number of announced slots.
+func (g *Gate) SetSlots(now time.Time, slots int) Moves {
+	g.account(now)
+	g.limit = g.limit.WithCeiling(slots)
+	g.queue.Resize(max(minQueue, slots*queuePerSlot))
+	return g.fill(now)
+}
+
+// Offer asks for a slot. Moves tells which waiting requests had to go.
+func (g *Gate) Offer(now time.Time, r Request) (Verdict, Moves) {
+	g.account(now)
+	g.level.Offer(r.Score)
+	if g.tooLate(now, r.Route, r.Deadline) {
+		return Refuse{Reason: failure.Deadline}, Moves{}
+	}
+	if g.rules.Levels && !g.level.Cut().Admits(r.Score, r.Depth) && !g.lessImportantWaits(r.Score) {
+		return Refuse{Reason: failure.Overload, After: g.comeBack()}, Moves{}
+	}
+	if len(g.running) < g.limit.Value() && g.queue.Len() == 0 {
+		g.start(now, r)
+		return Start{}, Moves{}
+	}
+	g.waiting[r.ID] = r
+	displaced, full := g.queue.Push(item(now, r))
+	moves := g.fill(now)
+	if full {
+		delete(g.waiting, displaced.ID)
+		if displaced.ID == r.ID {
+			return Refuse{Reason: failure.Overload, After: g.comeBack()}, moves
+		}
+		moves.Left = append(moves.Left, Left{displaced.ID, failure.Overload})
+	}
+	return Wait{}, moves
+}
+
+func item(now time.Time, r Request) queue.Item {
+	return queue.Item{
+		ID:           r.ID,
+		Score:        r.Score,
+		Organisation: r.Organisation,
+		Share:        r.Share,
+		Depth:        r.Depth,
+		Deadline:     r.Deadline,
+		Arrived:      now,
+	}
+}
+
+// lessImportantWaits keeps the cut from refusing a request while a less
+// important one waits here.
+func (g *Gate) lessImportantWaits(s priority.Score) bool {
+	last, ok := g.queue.Last()
+	return ok && last.Score.Importance() < s.Importance()
+}
+
+// tooLate reports whether a request can't finish before its deadline.
+func (g *Gate) tooLate(now time.Time, route string, deadline time.Time) bool {
+	left := deadline.Sub(now).Seconds()
+	return left <= 0 || left < hopeless*g.hold[route]
+}
+
+// comeBack is when a refused caller is asked to try again: after the time that
+// a full queue takes.
+func (g *Gate) comeBack() time.Duration {
+	capacity := g.level.Capacity()
+	if capacity <= 0 {
+		return time.Second
+	}
+	wait := time.Duration(float64(g.queue.Len()+1) / capacity * float64(time.Second))
+	return min(max(wait, 100*time.Millisecond), 10*time.Second)
+}
+
+func (g *Gate) start(now time.Time, r Request) {
+	g.running[r.ID] = running{route: r.Route, since: now}
+}
+
+// fill hands free slots to waiting requests.
+func (g *Gate) fill(now time.Time) Moves {
+	var moves Moves
+	for len(g.running) < g.limit.Value() {
+		next, ok, expired := g.queue.Pop(now)
+		for _, e := range expired {
+			delete(g.waiting, e.ID)
+			moves.Left = append(moves.Left, Left{e.ID, failure.Deadline})
+		}
+		if !ok {
+			return moves
+		}
+		r := g.waiting[next.ID]
+		delete(g.waiting, next.ID)
+		if g.tooLate(now, r.Route, r.Deadline) {
+			moves.Left = append(moves.Left, Left{r.ID, failure.Deadline})
+			continue
+		}
+		g.start(now, r)
+		moves.Started = append(moves.Started, r.ID)
+	}
+	return moves
+}
+
+// Done gives back the slot of a request.
+func (g *Gate) Done(now time.Time, id uint64, result Result) Moves {
+	r, ok := g.running[id]
+	if !ok {
+		return Moves{}
+	}
+	g.account(now)
+	inFlight := len(g.running)
+	delete(g.running, id)
+	g.done++
+	switch result {
+	case Answered:
+		g.learnHold(r, now)
+		g.limit = g.limit.WithSuccess()
+	case Rejected:
+		if g.rules.Adaptive {
+			g.limit = g.limit.WithRefusal(inFlight)
+		}
+	case Aborted:
+	}
+	return g.fill(now)
+}
+
+func (g *Gate) learnHold(r running, now time.Time) {
+	sample := now.Sub(r.since).Seconds()
+	mean, known := g.hold[r.route]
+	if !known {
+		g.hold[r.route] = sample * holdMemory
+		return
+	}
+	g.hold[r.route] = mean + (sample-mean)*holdMemory
+}
+
+// Cancel takes a waiting request out of the queue. It reports whether the
+// request was waiting.
+func (g *Gate) Cancel(id uint64) bool {
+	if _, ok := g.waiting[id]; !ok {
+		return false
+	}
+	delete(g.waiting, id)
+	return g.queue.Remove(id)
+}
+
+// Tick moves the level; call it every level.Tick.
+func (g *Gate) Tick(now time.Time) {
+	g.account(now)
+	elapsed := now.Sub(g.tickAt)
+	if g.tickAt.IsZero() {
+		elapsed = level.Tick
+	}
+	g.tickAt = now
+	slots := g.limit.Value()
+	g.level.Step(level.Load{
+		Waiting: g.queue.Len(),
+		Slots:   slots,
+		Busy:    g.busySum / math.Max(elapsed.Seconds(), 1e-9),
+		Done:    g.done,
+		Elapsed: elapsed,
+	})
+	g.done, g.busySum = 0, 0
+}
+
+// account adds up slot time in use.
+func (g *Gate) account(now time.Time) {
+	if !g.busyAt.IsZero() {
+		g.busySum += now.Sub(g.busyAt).Seconds() * float64(len(g.running))
+	}
+	g.busyAt = now
+}
+
+// Cut is the present cut, Open when levels are off.
+func (g *Gate) Cut() priority.Cut {
+	if !g.rules.Levels {
+		return priority.Open
+	}
+	return g.level.Cut()
+}
+
+// Load is running plus waiting requests over the limit.
+func (g *Gate) Load() float64 {
+	return float64(len(g.running)+g.queue.Len()) / math.Max(1, float64(g.limit.Value()))
+}
+
+// State is a snapshot for the dump.
+type State struct {
+	Running  int     `json:"running"`
+	Waiting  int     `json:"waiting"`
+	Limit    int     `json:"limit"`
+	Slots    int     `json:"slots"`
+	Cut      float64 `json:"cut"`
+	Capacity float64 `json:"capacity"`
+}
+
+// State returns a snapshot.
+func (g *Gate) State() State {
+	return State{
+		Running:  len(g.running),
+		Waiting:  g.queue.Len(),
+		Limit:    g.limit.Value(),
+		Slots:    g.limit.Ceiling(),
+		Cut:      float64(g.Cut()),
+		Capacity: g.level.Capacity(),
+	}
+}
--- /dev/null
+++ b/internal/policy/priority/priority.go
@@ -0,0 +1,70 @@
+// Package priority orders requests by importance and rank, and defines the cut
+// that a node admits requests up to.
+//
+// A score packs both into one number that all nodes compare alike: its whole
+// part is the importance, greatest importance first, and its fraction the rank
+// on a logarithmic scale. Because a root keeps its score on every hop, nodes
+// that shed by score shed the same roots, and an admitted root finishes.
+package priority
+
+import (
+	"math"
+
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+)
+
+// Score is a request's place in the order; a smaller score goes first.
+type Score float64
+
+// octaves is the range of ranks that a score can hold, in doublings, and
+// rankUnit the rank at which the scale turns from linear to logarithmic.
+const (
+	octaves  = 24
+	rankUnit = 1.0 / 16
+)
+
+// innerSlack is how far past the cut calls of a started root are let in, in
+// doublings of the rank: their work so far would be lost.
+const innerSlack = 0.25
+
+// New returns the score for an importance and a rank of at least 0.
+func New(importance manifest.Importance, rank float64) Score {
+	class := manifest.Importances - 1 - int(importance)
+	class = min(max(class, 0), manifest.Importances-1)
+	fraction := math.Log2(1+max(rank, 0)/rankUnit) / octaves
+	return Score(float64(class) + min(fraction, 0.999999))
+}
+
+// Importance is the importance that the score was made from.
+func (s Score) Importance() manifest.Importance {
+	class := min(max(int(s), 0), manifest.Importances-1)
+	return manifest.Importance(manifest.Importances - 1 - class)
+}
+
+// Cut is the greatest score admitted.
+type Cut float64
+
+// Open admits everything.
+const Open Cut = manifest.Importances
+
+// Closed admits nothing.
+const Closed Cut = 0
+
+// Admits reports whether a request with this score passes. Depth is the
+// number of hops from the root's caller, 1 for the root itself.
+func (c Cut) Admits(s Score, depth int) bool {
+	if Cut(s) <= c {
+		return true
+	}
+	if depth <= 1 {
+		return false
+	}
+	lowered := math.Max(float64(s)-innerSlack/octaves, math.Floor(float64(s)))
+	return Cut(lowered) <= c && c > Cut(math.Floor(float64(s)))
+}
+
+// WithStep returns the cut moved by a number of doublings of the rank, within
+// Closed and Open.
+func (c Cut) WithStep(doublings float64) Cut {
+	return min(max(c+Cut(doublings/octaves), Closed), Open)
+}
--- /dev/null
+++ b/internal/policy/rank/rank.go
@@ -0,0 +1,69 @@
+// Package rank gives each root a rank from its organisation's demand.
+//
+// The rank is uniform between 0 and the organisation's demand over its share.
+// A cut at rank r then admits min(demand, r times share) of every organisation:
+// the weighted max-min fair division, without any state per organisation at
+// the nodes that shed. Stoica, Shenker and Zhang's core-stateless fair queueing
+// labels flows in the same way.
+package rank
+
+import (
+	"math"
+	"time"
+)
+
+// window is the time constant of the demand estimate.
+const window = 2 * time.Second
+
+// Flow identifies the demand of one organisation for one service.
+type Flow struct {
+	Organisation string
+	Service      string
+}
+
+type estimate struct {
+	rate float64
+	last time.Time
+}
+
+// Ranker estimates demand per flow. It is not safe for concurrent use.
+type Ranker struct {
+	flows map[Flow]estimate
+}
+
+// New returns a ranker without history.
+func New() *Ranker {
+	return &Ranker{flows: map[Flow]estimate{}}
+}
+
+// Rank counts one root of the flow at now and returns its rank. Share is the
+// organisation's weight; u is uniform in [0, 1).
+func (r *Ranker) Rank(now time.Time, flow Flow, share, u float64) float64 {
+	e, known := r.flows[flow]
+	if !known {
+		e = estimate{rate: 1 / window.Seconds(), last: now}
+	} else {
+		e = e.withArrival(now)
+	}
+	r.flows[flow] = e
+	return u * e.rate / share
+}
+
+// withArrival adds one arrival to an exponential average over the window.
+func (e estimate) withArrival(now time.Time) estimate {
+	gap := now.Sub(e.last).Seconds()
+	decay := math.Exp(-gap / window.Seconds())
+	return estimate{rate: e.rate*decay + 1/window.Seconds(), last: now}
+}
+
+// Forget drops flows that had no root for ten windows.
+func (r *Ranker) Forget(now time.Time) {
+	for flow, e := range r.flows {
+		if now.Sub(e.last) > 10*window {
+			delete(r.flows, flow)
+		}
+	}
+}
+
+// Flows is the number of flows known.
+func (r *Ranker) Flows() int { return len(r.flows) }
--- /dev/null
+++ b/internal/policy/resend/resend.go
@@ -0,0 +1,62 @@
+// Package resend decides whether a call that did not succeed is sent again.
+package resend
+
+import (
+	"net/http"
+
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+)
+
+// Result is what came of one send: Whole, Refused or Gone.
+type Result interface{ result() }
+
+// Whole is a target's whole answer.
+type Whole struct{ Status int }
+
+// Refused is a node's refusal.
+type Refused struct{ Refusal *failure.Refusal }
+
+// Gone means that no answer came. NotSent is set when no connection could be
+// made, so that nothing can have run.
+type Gone struct{ NotSent bool }
+
+func (Whole) result()   {}
+func (Refused) result() {}
+func (Gone) result()    {}
+
+// Again reports whether another send is allowed by what the first one did.
+// The budget is the caller's to check.
+func Again(result Result, idempotent bool) bool {
+	switch r := result.(type) {
+	case Whole:
+		return idempotent && failedStatus(r.Status)
+	case Gone:
+		return r.NotSent || idempotent
+	case Refused:
+		return againAfter(r.Refusal, idempotent)
+	}
+	return false
+}
+
+func againAfter(r *failure.Refusal, idempotent bool) bool {
+	switch r.Reason {
+	case failure.Overload, failure.Leaving, failure.NotReady, failure.NoTarget:
+		return r.Ran == failure.RanNo || idempotent
+	case failure.Lost, failure.Broken:
+		return idempotent || r.Ran == failure.RanNo
+	}
+	return false
+}
+
+// failedStatus reports whether a status says that the target failed, not the
+// request.
+func failedStatus(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// Failed reports whether an answer counts against the target's health.
+func Failed(status int) bool { return failedStatus(status) }
--- /dev/null
+++ b/internal/standin/deployment/deployment.go
@@ -0,0 +1,101 @@
+// Package deployment describes the targets and callers that stand-ins play.
+package deployment
+
+import (
+	"fmt"
+	"time"
+
+	"chestnutshed.example/chestnutshed/examples"
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+	"github.com/gravitational/trace"
+)
+
+// Call is a call that targets make under paths with a prefix.
+type Call struct {
+	Under  string `json:"under"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+}
+
+// Service is a group of equal targets.
+type Service struct {
+	Name        string `json:"name"`
+	Targets     int    `json:"targets"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	// Time is the mean time that a request holds a slot, without inner calls.
+	Time  settings.Duration `json:"time"`
+	Calls []Call            `json:"calls,omitempty"`
+}
+
+// Mean is the mean service time.
+func (s Service) Mean() time.Duration { return time.Duration(s.Time) }
+
+// Ask is one kind of request that callers send.
+type Ask struct {
+	Route  string  `json:"route"`
+	Method string  `json:"method"`
+	Path   string  `json:"path"`
+	Weight float64 `json:"weight"`
+	// Ticket is set for requests that need one.
+	Ticket bool `json:"ticket,omitempty"`
+}
+
+// Deployment is one fleet.
+type Deployment struct {
+	Name   string   `json:"name"`
+	Region string   `json:"region"`
+	Zones  []string `json:"zones"`
+	// Apart is the time between two availability zones, Away that between
+	// callers and nodes.
+	Apart    settings.Duration `json:"apart"`
+	Away     settings.Duration `json:"away"`
+	Services []Service         `json:"services"`
+	Mix      []Ask             `json:"mix"`
+
+	Manifest manifest.Manifest `json:"-"`
+	Text     []byte            `json:"-"`
+}
+
+// Load returns one of the examples: budapest or mexico.
+func Load(name string) (Deployment, error) {
+	var d Deployment
+	fleet, err := examples.Files.ReadFile(name + ".fleet.jsonc")
+	if err != nil {
+		return d, trace.NotFound("no deployment %q: budapest and mexico are there", name)
+	}
+	if err := settings.Decode(fleet, &d); err != nil {
+		return d, fmt.Errorf("deployment %s: %w", name, err)
+	}
+	if d.Text, err = examples.Files.ReadFile(name + ".jsonc"); err != nil {
+		return d, fmt.Errorf("manifest of %s: %w", name, err)
+	}
+	if d.Manifest, err = manifest.Parse(d.Text); err != nil {
+		return d, fmt.Errorf("manifest of %s: %w", name, err)
+	}
+	return d, nil
+}
+
+// Key is the example key of an organisation.
+func Key(organisation string) string { return "example-" + organisation }
+
+// Service returns a service by its name.
+func (d Deployment) Service(name string) (Service, bool) {
+	for _, s := range d.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Route returns a route of the manifest by its name.
+func (d Deployment) Route(name string) (manifest.Route, bool) {
+	for _, r := range d.Manifest.Routes {
+		if r.Name == name {
+			return r, true
+		}
+	}
+	return manifest.Route{}, false
+}
--- /dev/null
+++ b/internal/standin/load/load.go
@@ -0,0 +1,297 @@
+// Package load is a stand-in for callers: it sends requests at given rates,
+// checks that each answer is whole and its own, and reports outcomes.
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/standin/deployment"
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+)
+
+// maxInFlight bounds the requests under way at once.
+const maxInFlight = 2000
+
+// Caller sends as one organisation.
+type Caller struct {
+	Organisation string
+	Key          string
+	// Rate is in requests a second.
+	Rate float64
+}
+
+// Config describes a load.
+type Config struct {
+	// Entries are callers' listeners of nodes.
+	Entries []string
+	Callers []Caller
+	Mix     []deployment.Ask
+	For     time.Duration
+	// Retries is how often a caller repeats what was refused or lost.
+	Retries int
+	Seed    uint64
+}
+
+// Row is what became of one organisation's requests.
+type Row struct {
+	Organisation string        `json:"organisation"`
+	Sent         int           `json:"sent"`
+	Whole        int           `json:"whole"`
+	Wrong        int           `json:"wrong"`
+	Refused      []ReasonCount `json:"refused,omitempty"`
+}
+
+// ReasonCount is a number of refusals for one reason.
+type ReasonCount struct {
+	Reason string `json:"reason"`
+	Count  int    `json:"count"`
+}
+
+// Report is the outcome of a load.
+type Report struct {
+	Took time.Duration
+	Rows []Row
+	// Latency of whole answers, in microseconds.
+	Latency *hdrhistogram.Histogram
+}
+
+// Load is a running load.
+type Load struct {
+	config Config
+	client *http.Client
+
+	mu      sync.Mutex
+	rows    map[string]*Row
+	latency *hdrhistogram.Histogram
+}
+
+// New returns a load that does not run yet.
+func New(c Config) *Load {
+	return &Load{
+		config:  c,
+		client:  &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		rows:    map[string]*Row{},
+		latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3),
+	}
+}
+
+// Run sends until the time is over or ctx ends, and waits for all answers.
+func (l *Load) Run(ctx context.Context) Report {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, l.config.For)
+	defer cancel()
+	var pacers, requests errgroup.Group
+	requests.SetLimit(maxInFlight)
+	for i, c := range l.config.Callers {
+		random := rand.New(rand.NewPCG(l.config.Seed, uint64(i)))
+		pacers.Go(func() error {
+			l.pace(ctx, c, random, &requests)
+			return nil
+		})
+	}
+	_ = pacers.Wait()
+	_ = requests.Wait()
+	return l.Report(time.Since(began))
+}
+
+// pace starts requests of one caller at exponential distances.
+func (l *Load) pace(ctx context.Context, c Caller, random *rand.Rand, requests *errgroup.Group) {
+	next := time.Now()
+	for n := 0; ; n++ {
+		next = next.Add(time.Duration(random.ExpFloat64() / c.Rate * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(next)):
+		}
+		ask := pick(l.config.Mix, random)
+		entry := l.config.Entries[random.IntN(len(l.config.Entries))]
+		mark := fmt.Sprintf("%s-%d-%d", c.Organisation, n, random.Uint64())
+		requests.Go(func() error {
+			l.one(c, ask, entry, mark)
+			return nil
+		})
+	}
+}
+
+func pick(mix []deployment.Ask, random *rand.Rand) deployment.Ask {
+	total := 0.0
+	for _, a := range mix {
+		total += a.Weight
+	}
+	at := random.Float64() * total
+	for _, a := range mix {
+		if at -= a.Weight; at < 0 {
+			return a
+		}
+	}
+	return mix[len(mix)-1]
+}
+
+// one sends a request, with repeats, and notes its outcome.
+func (l *Load) one(c Caller, ask deployment.Ask, entry, mark string) {
+	began := time.Now()
+	ticket := ""
+	if ask.Ticket {
+		var err error
+		if ticket, err = l.draw(c, entry); err != nil {
+			l.note(c, "no-ticket", false, began)
+			return
+		}
+	}
+	reason, own := "", false
+	for range l.config.Retries + 1 {
+		reason, own = l.send(c, ask, entry, ticket, mark)
+		if reason == "" {
+			break
+		}
+	}
+	l.note(c, reason, own, began)
+}
+
+func (l *Load) note(c Caller, reason string, own bool, began time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	row, ok := l.rows[c.Organisation]
+	if !ok {
+		row = &Row{Organisation: c.Organisation}
+		l.rows[c.Organisation] = row
+	}
+	row.Sent++
+	switch {
+	case reason == "" && own:
+		row.Whole++
+		_ = l.latency.RecordValue(time.Since(began).Microseconds())
+	case reason == "":
+		row.Wrong++
+	default:
+		at := slices.IndexFunc(row.Refused, func(r ReasonCount) bool { return r.Reason == reason })
+		if at < 0 {
+			row.Refused = append(row.Refused, ReasonCount{Reason: reason})
+			at = len(row.Refused) - 1
+		}
+		row.Refused[at].Count++
+	}
+}
+
+func (l *Load) draw(c Caller, entry string) (string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry+"/chestnut/tickets", nil)
+	if err != nil {
+		return "", fmt.Errorf("make request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return "", fmt.Errorf("draw ticket: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var reply struct {
+		Tickets []string `json:"tickets"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil || len(reply.Tickets) == 0 {
+		return "", fmt.Errorf("draw ticket: status %s: %w", resp.Status, err)
+	}
+	return reply.Tickets[0], nil
+}
+
+// send sends one request. It returns why there was no whole answer, and
+// whether the answer was the request's own.
+func (l *Load) send(c Caller, ask deployment.Ask, entry, ticket, mark string) (reason string, own bool) {
+	var body io.Reader
+	if ask.Method != http.MethodGet {
+		body = bytes.NewReader([]byte(mark))
+	}
+	req, err := http.NewRequest(ask.Method, "http://"+entry+ask.Path, body)
+	if err != nil {
+		return "bad-request", false
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	if ticket != "" {
+		req.Header.Set("Idempotency-Key", ticket)
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return "no-answer", false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		return "cut", false
+	case resp.StatusCode == http.StatusOK:
+		want := ask.Path
+		if ask.Method != http.MethodGet {
+			want += " " + mark
+		}
+		return "", strings.Contains(string(text), want)
+	}
+	var refusal struct {
+		Error struct {
+			Reason string `json:"reason"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(text, &refusal) == nil && refusal.Error.Reason != "" {
+		return refusal.Error.Reason, false
+	}
+	return fmt.Sprintf("status-%d", resp.StatusCode), false
+}
+
+// Report returns the outcome so far.
+func (l *Load) Report(took time.Duration) Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := Report{Took: took, Latency: hdrhistogram.Import(l.latency.Export())}
+	for _, row := range l.rows {
+		c := *row
+		c.Refused = slices.Clone(row.Refused)
+		r.Rows = append(r.Rows, c)
+	}
+	slices.SortFunc(r.Rows, func(a, b Row) int { return strings.Compare(a.Organisation, b.Organisation) })
+	return r
+}
+
+// Totals are the sums over all organisations.
+func (r Report) Totals() (sent, whole, wrong, refused int) {
+	for _, row := range r.Rows {
+		sent += row.Sent
+		whole += row.Whole
+		wrong += row.Wrong
+		for _, x := range row.Refused {
+			refused += x.Count
+		}
+	}
+	return sent, whole, wrong, refused
+}
+
+// Text is the report as a table.
+func (r Report) Text() string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "organisation\tsent\twhole\twrong\trefused\t")
+	for _, row := range r.Rows {
+		var parts []string
+		for _, x := range row.Refused {
+			parts = append(parts, fmt.Sprintf("%s %d", x.Reason, x.Count))
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t\n", row.Organisation, row.Sent, row.Whole, row.Wrong, strings.Join(parts, ", "))
+	}
+	_ = w.Flush()
+	sent, whole, wrong, refused := r.Totals()
+	_, _ = fmt.Fprintf(&b, "\nsent %d, whole %d (%.1f/s), wrong %d, refused %d\n", sent, whole, float64(whole)/r.Took.Seconds(), wrong, refused)
+	_, _ = fmt.Fprintf(&b, "whole answers: p50 %.1f ms, p99 %.1f ms\n", ms(r.Latency.ValueAtQuantile(50)), ms(r.Latency.ValueAtQuantile(99)))
+	return b.String()
+}
+
+func ms(micros int64) float64 { return float64(micros) / 1000 }
--- /dev/null
+++ b/internal/standin/process/path_test.go
@@ -0,0 +1,164 @@
+package process_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/standin/process"
+	"github.com/matryer/is"
+)
+
+// bins are built once for all tests of the package.
+var bins process.Binaries
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "chestnutshed")
+	if err == nil {
+		bins, err = process.Build(dir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// patience bounds every wait for a condition.
+const patience = 60 * time.Second
+
+// newBench starts a platform and ships a manifest of testdata.
+func newBench(t *testing.T, manifest string) (*process.Bench, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	t.Cleanup(cancel)
+	b := process.New(bins, t.TempDir())
+	t.Cleanup(func() {
+		b.Close()
+		if t.Failed() {
+			for i, m := range b.Members {
+				t.Logf("node %d: %s", i, m.Node.Log())
+			}
+		}
+	})
+	if err := b.StartPlatform(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if out, code := b.Run("ship", "--reviewed", "0", "--by", "test", filepath.Join("testdata", manifest)); code != 0 {
+		t.Fatal(out)
+	}
+	return b, ctx
+}
+
+// addTwo starts two targets of front, which call back, and one of back.
+func addTwo(ctx context.Context, t *testing.T, b *process.Bench) {
+	t.Helper()
+	flags := []string{"--slots", "20", "--time", "5ms"}
+	front := append([]string{"--call", "GET:/part/7"}, flags...)
+	for zone, service := range []string{"front", "front", "back"} {
+		extra := flags
+		if service == "front" {
+			extra = front
+		}
+		if _, err := b.AddMember(fmt.Sprint("zone-", zone), service, nil, extra...); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := b.Ready(ctx, 3, 2); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestWholePathAsProcesses(t *testing.T) {
+	is := is.New(t)
+	b, ctx := newBench(t, "two.jsonc")
+	addTwo(ctx, t, b)
+	tests := []struct {
+		name       string
+		path, key  string
+		wantStatus int
+		wantReason string
+	}{
+		{"a key of the organisation", "/look/1?x=2", "example-acme", 200, ""},
+		{"an open route", "/list", "", 200, ""},
+		{"no key", "/look/1", "", 401, "no-key"},
+		{"a foreign key", "/look/1", "example-nobody", 401, "bad-key"},
+		{"an unknown route", "/nothing", "example-acme", 404, "no-route"},
+		{"an internal route", "/part/7", "example-acme", 404, "no-route"},
+	}
+	for _, tt := range tests {
+		for _, m := range b.Members {
+			a, err := process.Do(ctx, http.DefaultClient, process.Request{Entry: m.Callers(), Method: "GET", Path: tt.path, Key: tt.key})
+			is.NoErr(err)
+			if a.Status != tt.wantStatus || a.Reason != tt.wantReason {
+				t.Errorf("%s: got %d %q %s, want %d %q", tt.name, a.Status, a.Reason, a.Body, tt.wantStatus, tt.wantReason)
+			}
+			if tt.wantReason != "" {
+				is.Equal(a.Ran, "no")
+			}
+		}
+	}
+	checkNoKeySeen(t, b)
+	checkWithdrawn(ctx, t, b)
+}
+
+// checkNoKeySeen looks for keys in all that targets saw, and for the second
+// hop.
+func checkNoKeySeen(t *testing.T, b *process.Bench) {
+	t.Helper()
+	inner := 0
+	for _, m := range b.Members {
+		records, err := m.Records()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range records {
+			if strings.Contains(r.Head+r.Body+r.Path, "example-") {
+				t.Errorf("a target saw a key: %+v", r)
+			}
+			if r.Path == "/part/7" {
+				inner++
+			}
+		}
+	}
+	if inner != len(b.Members) {
+		t.Errorf("%d inner calls, want %d", inner, len(b.Members))
+	}
+}
+
+// checkWithdrawn ships a manifest without one key and expects its refusal on a
+// connection that is open already.
+func checkWithdrawn(ctx context.Context, t *testing.T, b *process.Bench) {
+	t.Helper()
+	is := is.New(t)
+	text, err := os.ReadFile(filepath.Join("testdata", "two.jsonc"))
+	is.NoErr(err)
+	lines := strings.Split(string(text), "\n")
+	for i, line := range lines {
+		if strings.Contains(line, `"acme"`) {
+			at := strings.LastIndex(line, `, "sha256:`)
+			lines[i] = line[:at] + "]},"
+		}
+	}
+	path := filepath.Join(b.Dir, "next.jsonc")
+	is.NoErr(os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o600))
+	second := process.Request{Entry: b.Members[0].Callers(), Method: "GET", Path: "/look/1", Key: "example-acme-second"}
+	a, err := process.Do(ctx, http.DefaultClient, second)
+	is.NoErr(err)
+	is.Equal(a.Status, 200)
+	out, code := b.Run("ship", "--reviewed", "1", "--by", "test", "--node", b.Members[0].Operators(), path)
+	if code != 0 || !strings.Contains(out, "in force at 3 nodes") {
+		t.Fatal(out)
+	}
+	a, err = process.Do(ctx, http.DefaultClient, second)
+	is.NoErr(err)
+	is.Equal(a.Status, 401)
+	is.Equal(a.Ran, "no")
+}
--- /dev/null
+++ b/internal/standin/process/process.go
@@ -0,0 +1,412 @@
+// Package process runs nodes and stand-ins as separate processes on loopback,
+// with the faults that tests need: kill, freeze and switches of the stand-ins.
+package process
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+	"chestnutshed.example/chestnutshed/internal/operate/access"
+	"chestnutshed.example/chestnutshed/internal/platform/object"
+	"chestnutshed.example/chestnutshed/internal/standin/platform"
+	"chestnutshed.example/chestnutshed/internal/standin/rig"
+	"chestnutshed.example/chestnutshed/internal/standin/target"
+	"github.com/gravitational/trace"
+)
+
+// Secret is the fleet secret of all benches.
+const Secret = "the secret of a bench on loopback"
+
+// Binaries are the built programs.
+type Binaries struct {
+	Chestnutshed string
+	Standin      string
+}
+
+// Build builds both programs into a folder.
+func Build(dir string) (Binaries, error) {
+	b := Binaries{filepath.Join(dir, "chestnutshed"), filepath.Join(dir, "standin")}
+	const module = "chestnutshed.example/chestnutshed/cmd/"
+	cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator), module+"chestnutshed", module+"standin")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return b, fmt.Errorf("build: %w: %s", err, out)
+	}
+	return b, nil
+}
+
+// Proc is one running process.
+type Proc struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	log  *tail
+	err  error
+}
+
+// tail keeps the end of a process's output.
+type tail struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+// maxTail bounds what is kept of a process's output, in bytes.
+const maxTail = 256 << 10
+
+// Write implements io.Writer.
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text = append(t.text, p...)
+	if len(t.text) > maxTail {
+		t.text = t.text[len(t.text)-maxTail:]
+	}
+	return len(p), nil
+}
+
+// Log is the end of the process's output.
+func (p *Proc) Log() string {
+	p.log.mu.Lock()
+	defer p.log.mu.Unlock()
+	return string(p.log.text)
+}
+
+// PID is the process's number.
+func (p *Proc) PID() int { return p.cmd.Process.Pid }
+
+// Kill ends the process at once and waits until it is gone.
+func (p *Proc) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Freeze stops the process as a paused VM would be; Thaw lets it go on.
+func (p *Proc) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Proc) Thaw() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks the process to stop; Done tells when it has.
+func (p *Proc) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Done is closed when the process has ended.
+func (p *Proc) Done() <-chan struct{} { return p.done }
+
+// Err is the error of a process that has ended.
+func (p *Proc) Err() error { return p.err }
+
+// Member is a node with its target.
+type Member struct {
+	Settings settings.Settings
+	Node     *Proc
+	Target   *Proc
+	// TargetAddress is where the target takes requests.
+	TargetAddress string
+	path          string
+}
+
+// Callers is the node's listener for callers.
+func (m *Member) Callers() string { return m.Settings.Callers.Address }
+
+// Operators is the node's listener for operators.
+func (m *Member) Operators() string { return m.Settings.Operators.Address }
+
+// Bench is a fleet of processes.
+type Bench struct {
+	Binaries Binaries
+	Dir      string
+	// PlatformURL is the base URL of the platform's API.
+	PlatformURL string
+	Platform    *Proc
+	Members     []*Member
+
+	mu    sync.Mutex
+	procs []*Proc
+}
+
+// New returns a bench without processes.
+func New(b Binaries, dir string) *Bench {
+	return &Bench{Binaries: b, Dir: dir}
+}
+
+func (b *Bench) start(name string, args ...string) (*Proc, error) {
+	cmd := exec.Command(name, args...)
+	cmd.Env = append(os.Environ(), "CHESTNUTSHED_SECRET="+Secret)
+	p := &Proc{cmd: cmd, done: make(chan struct{}), log: &tail{}}
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	b.mu.Lock()
+	b.procs = append(b.procs, p)
+	b.mu.Unlock()
+	return p, nil
+}
+
+// Close ends all processes of the bench.
+func (b *Bench) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.procs {
+		p.Thaw()
+		p.Kill()
+	}
+}
+
+// StartPlatform starts the platform.
+func (b *Bench) StartPlatform(ctx context.Context) error {
+	ports, err := rig.Ports(1)
+	if err != nil {
+		return err
+	}
+	b.PlatformURL = "http://" + ports[0]
+	if b.Platform, err = b.start(b.Binaries.Standin, "platform", "--address", ports[0]); err != nil {
+		return err
+	}
+	return Until(ctx, func() bool {
+		_, err := b.Counts()
+		return err == nil
+	})
+}
+
+// Store is a client of the platform.
+func (b *Bench) Store() *object.Client { return object.New(b.PlatformURL) }
+
+// Counts are the calls that the platform received.
+func (b *Bench) Counts() (platform.Counts, error) {
+	var c platform.Counts
+	resp, err := http.Get(b.PlatformURL + "/counts")
+	if err != nil {
+		return c, fmt.Errorf("read counts: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return c, json.NewDecoder(resp.Body).Decode(&c)
+}
+
+// Fault switches the platform's faults.
+func (b *Bench) Fault(f platform.Faults) error { return put(b.PlatformURL+"/faults", f) }
+
+func put(url string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("put: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return trace.BadParameter("put %s: %s", url, resp.Status)
+	}
+	return nil
+}
+
+// Option changes the settings of a new member.
+type Option func(s settings.Settings) settings.Settings
+
+// AddMember starts a node and, with a service, its target with more flags of
+// the stand-in.
+func (b *Bench) AddMember(zone, service string, options []Option, flags ...string) (*Member, error) {
+	ports, err := rig.Ports(5)
+	if err != nil {
+		return nil, err
+	}
+	s := settings.Settings{
+		Zone:      zone,
+		Region:    "here",
+		Callers:   settings.Listener{Address: ports[0]},
+		Target:    settings.Listener{Address: ports[1]},
+		Peers:     settings.Listener{Address: ports[2]},
+		Operators: settings.Listener{Address: ports[3]},
+		Platform:  b.PlatformURL,
+		Secret:    "env:CHESTNUTSHED_SECRET",
+		Level:     "debug",
+	}.Defaults()
+	for _, o := range options {
+		s = o(s)
+	}
+	m := &Member{Settings: s, TargetAddress: ports[4]}
+	m.path = filepath.Join(b.Dir, fmt.Sprintf("node-%d.json", len(b.Members)))
+	text, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode settings: %w", err)
+	}
+	if err := os.WriteFile(m.path, text, 0o600); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	b.Members = append(b.Members, m)
+	if err := b.StartNode(m); err != nil {
+		return nil, err
+	}
+	if service == "" {
+		return m, nil
+	}
+	return m, b.StartTarget(m, service, flags...)
+}
+
+// StartNode starts the node of a member, also again after its end.
+func (b *Bench) StartNode(m *Member) error {
+	var err error
+	m.Node, err = b.start(b.Binaries.Chestnutshed, "node", "--settings", m.path)
+	return err
+}
+
+// StartTarget starts the target of a member, also again after its end.
+func (b *Bench) StartTarget(m *Member, service string, flags ...string) error {
+	args := append([]string{"target", "--service", service, "--address", m.TargetAddress, "--node", m.Settings.Target.Address}, flags...)
+	var err error
+	m.Target, err = b.start(b.Binaries.Standin, args...)
+	return err
+}
+
+// SetFaults switches the faults of a member's target.
+func (m *Member) SetFaults(f target.Faults) error {
+	return put("http://"+m.TargetAddress+"/standin/faults", f)
+}
+
+// Records are what a member's target saw.
+func (m *Member) Records() ([]target.Record, error) {
+	resp, err := http.Get("http://" + m.TargetAddress + "/standin/records")
+	if err != nil {
+		return nil, fmt.Errorf("read records: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var records []target.Record
+	return records, json.NewDecoder(resp.Body).Decode(&records)
+}
+
+// Run runs an operators' command to its end.
+func (b *Bench) Run(args ...string) (out string, code int) {
+	cmd := exec.Command(b.Binaries.Chestnutshed, args...)
+	cmd.Env = append(os.Environ(), "CHESTNUTSHED_PLATFORM="+b.PlatformURL)
+	text, _ := cmd.CombinedOutput()
+	return string(text), cmd.ProcessState.ExitCode()
+}
+
+// Ready waits until every running node has a configuration, knows n ready
+// targets and the holders of all parts.
+func (b *Bench) Ready(ctx context.Context, n, parts int) error {
+	client, err := access.New(settings.TLS{})
+	if err != nil {
+		return fmt.Errorf("make client: %w", err)
+	}
+	return Until(ctx, func() bool {
+		for _, m := range b.Members {
+			if ended(m.Node) {
+				continue
+			}
+			s, err := client.State(ctx, m.Operators())
+			if err != nil || s.Config.Head == nil || s.Targets() != n || len(s.Parts.Known) != parts {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func ended(p *Proc) bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// untilPoll is the time between looks at a condition.
+const untilPoll = 20 * time.Millisecond
+
+// Until waits until a condition holds; it returns the error of ctx when that
+// ends first.
+func Until(ctx context.Context, condition func() bool) error {
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("condition does not hold: %w", ctx.Err())
+		case <-time.After(untilPoll):
+		}
+	}
+	return nil
+}
+
+// Answer is a caller's view of an answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+	// Reason and Ran are set for refusals.
+	Reason string
+	Ran    string
+}
+
+// Request is what a caller sends.
+type Request struct {
+	Entry  string
+	Method string
+	Path   string
+	Key    string
+	Ticket string
+	Body   string
+}
+
+// Do sends a request as a caller and reads the whole answer.
+func Do(ctx context.Context, client *http.Client, r Request) (Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Entry+r.Path, bytes.NewReader([]byte(r.Body)))
+	if err != nil {
+		return Answer{}, fmt.Errorf("make request: %w", err)
+	}
+	if r.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+r.Key)
+	}
+	if r.Ticket != "" {
+		req.Header.Set("Idempotency-Key", r.Ticket)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Answer{}, fmt.Errorf("send: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Answer{}, fmt.Errorf("read answer: %w", err)
+	}
+	a := Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(body)}
+	var refusal struct {
+		Error struct{ Reason, Ran string }
+	}
+	if json.Unmarshal(body, &refusal) == nil {
+		a.Reason, a.Ran = refusal.Error.Reason, refusal.Error.Ran
+	}
+	return a, nil
+}
+
+// Ticket draws one ticket.
+func Ticket(ctx context.Context, client *http.Client, entry, key string) (string, error) {
+	a, err := Do(ctx, client, Request{Entry: entry, Method: http.MethodPost, Path: "/chestnut/tickets", Key: key})
+	if err != nil {
+		return "", err
+	}
+	var reply struct{ Tickets []string }
+	if err := json.Unmarshal([]byte(a.Body), &reply); err != nil || len(reply.Tickets) != 1 {
+		return "", trace.BadParameter("no ticket: %d %s", a.Status, a.Body)
+	}
+	return reply.Tickets[0], nil
+}
--- /dev/null
+++ b/internal/standin/rig/rig.go
@@ -0,0 +1,214 @@
+// Package rig runs a whole deployment on loopback in one process: platform,
+// targets and nodes.
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+	"chestnutshed.example/chestnutshed/internal/core/node"
+	"chestnutshed.example/chestnutshed/internal/operate/access"
+	"chestnutshed.example/chestnutshed/internal/operate/ship"
+	"chestnutshed.example/chestnutshed/internal/platform/object"
+	"chestnutshed.example/chestnutshed/internal/standin/deployment"
+	"chestnutshed.example/chestnutshed/internal/standin/platform"
+	"chestnutshed.example/chestnutshed/internal/standin/target"
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+)
+
+// readyPoll is the time between looks whether all nodes are ready.
+const readyPoll = 50 * time.Millisecond
+
+// Member is one target with its node.
+type Member struct {
+	Service  string
+	Settings settings.Settings
+	Node     *node.Node
+	Target   *target.Target
+}
+
+// Rig is a running deployment.
+type Rig struct {
+	Platform    *platform.Platform
+	PlatformURL string
+	Members     []Member
+
+	cancel context.CancelFunc
+	group  *errgroup.Group
+	// close ends the platform, which outlives the nodes.
+	close func() error
+}
+
+// Ports returns n free loopback addresses.
+func Ports(n int) ([]string, error) {
+	var addresses []string
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("find free port: %w", err)
+		}
+		listeners = append(listeners, l)
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+// Start runs a deployment and ships its manifest. It returns when every node
+// has it in force and knows every target.
+func Start(ctx context.Context, d deployment.Deployment, log *logrus.Logger) (*Rig, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &Rig{Platform: platform.New(), cancel: cancel}
+	r.group, ctx = errgroup.WithContext(ctx)
+	if err := r.start(ctx, d, log); err != nil {
+		_ = r.Stop()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Rig) start(ctx context.Context, d deployment.Deployment, log *logrus.Logger) error {
+	if err := r.startPlatform(); err != nil {
+		return err
+	}
+	store := object.New(r.PlatformURL)
+	if _, err := ship.Ship(ctx, time.Now(), store, ship.Request{Text: d.Text, By: "rig"}); err != nil {
+		return fmt.Errorf("ship manifest: %w", err)
+	}
+	for _, s := range d.Services {
+		for i := range s.Targets {
+			if err := r.startMember(ctx, d, s, d.Zones[i%len(d.Zones)], log); err != nil {
+				return fmt.Errorf("start member of %s: %w", s.Name, err)
+			}
+		}
+	}
+	parts := 0
+	for _, o := range d.Manifest.Organisations {
+		parts += o.Parts
+	}
+	return r.await(ctx, parts)
+}
+
+func (r *Rig) startPlatform() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen for the platform: %w", err)
+	}
+	r.PlatformURL = "http://" + listener.Addr().String()
+	server := &http.Server{Handler: r.Platform.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	r.close = server.Close
+	return nil
+}
+
+func (r *Rig) startMember(ctx context.Context, d deployment.Deployment, s deployment.Service, zone string, log *logrus.Logger) error {
+	ports, err := Ports(5)
+	if err != nil {
+		return err
+	}
+	conf := settings.Settings{
+		Zone:      zone,
+		Region:    d.Region,
+		Callers:   settings.Listener{Address: ports[0]},
+		Target:    settings.Listener{Address: ports[1]},
+		Peers:     settings.Listener{Address: ports[2]},
+		Operators: settings.Listener{Address: ports[3]},
+		Platform:  r.PlatformURL,
+	}.Defaults().WithSecret([]byte("the secret of a rig on loopback"))
+	n, err := node.New(conf, log)
+	if err != nil {
+		return fmt.Errorf("make node: %w", err)
+	}
+	t := target.New(target.Config{
+		Service:     s.Name,
+		Address:     ports[4],
+		Node:        ports[1],
+		Slots:       s.Slots,
+		Connections: s.Connections,
+		Time:        s.Mean(),
+		Calls:       s.Calls,
+		Echo:        true,
+		Exit:        func() {},
+	})
+	r.group.Go(func() error { return n.Run(ctx) })
+	r.group.Go(func() error { return t.Run(ctx) })
+	r.Members = append(r.Members, Member{s.Name, conf, n, t})
+	return nil
+}
+
+// await waits until all nodes have a configuration, know all targets and the
+// holders of all parts.
+func (r *Rig) await(ctx context.Context, parts int) error {
+	client, err := access.New(settings.TLS{})
+	if err != nil {
+		return fmt.Errorf("make client: %w", err)
+	}
+	for {
+		ready := 0
+		fleet := client.Fleet(ctx, r.Operators(), false)
+		for _, s := range fleet.States {
+			if s.Config.Head != nil && s.Targets() == len(r.Members) && len(s.Parts.Known) == parts {
+				ready++
+			}
+		}
+		if ready == len(r.Members) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.ConnectionProblem(ctx.Err(), "%d of %d nodes were ready", ready, len(r.Members))
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+// Entries are the callers' listeners of all nodes.
+func (r *Rig) Entries() []string {
+	var all []string
+	for _, m := range r.Members {
+		all = append(all, m.Settings.Callers.Address)
+	}
+	return all
+}
+
+// Operators are the operators' listeners of all nodes.
+func (r *Rig) Operators() []string {
+	var all []string
+	for _, m := range r.Members {
+		all = append(all, m.Settings.Operators.Address)
+	}
+	return all
+}
+
+// Stop stops all nodes as planned, then everything else.
+func (r *Rig) Stop() error {
+	r.cancel()
+	err := r.group.Wait()
+	if r.close != nil {
+		err = errors.Join(err, r.close())
+	}
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("stop rig: %w", err)
+	}
+	return nil
+}
+
+// Quiet returns a logger that writes nothing.
+func Quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,337 @@
+// Package target is a stand-in for a back end beside a node: it announces
+// itself, has slots and service times, calls other services, and fails in ways
+// that tests and people switch over HTTP.
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/standin/deployment"
+	"chestnutshed.example/chestnutshed/internal/traffic/serve"
+	"chestnutshed.example/chestnutshed/internal/traffic/wire"
+	"github.com/google/uuid"
+)
+
+const (
+	// announceEvery is the time between announcements.
+	announceEvery = 500 * time.Millisecond
+	// coldFactor slows a target that has just started.
+	coldFactor = 3
+	// maxRecords bounds what is remembered of requests.
+	maxRecords = 200000
+	// crashMark in a body makes the target crash, if crashes are switched on.
+	crashMark = "crash-the-target"
+)
+
+// Config describes one target.
+type Config struct {
+	Service     string
+	Address     string
+	Node        string
+	Slots       int
+	Connections int
+	Time        time.Duration
+	Cold        time.Duration
+	Calls       []deployment.Call
+	Echo        bool
+	// Exit ends the process at a crash; nil is os.Exit.
+	Exit func()
+}
+
+// Faults are the switchable faults.
+type Faults struct {
+	// Slow multiplies the service time; 0 means 1.
+	Slow float64 `json:"slow"`
+	// Fail answers everything with this status.
+	Fail int `json:"fail"`
+	// Cut ends answers in the middle.
+	Cut bool `json:"cut"`
+	// Cross answers with another request's identity.
+	Cross bool `json:"cross"`
+	// Huge is the size of answers, in bytes.
+	Huge int `json:"huge"`
+	// Crash ends the target at a marked request.
+	Crash bool `json:"crash"`
+	// Lie makes the health endpoint say the opposite.
+	Lie bool `json:"lie"`
+	// Repeat is how often the target sends each inner call.
+	Repeat int `json:"repeat"`
+	// Leave announces that the target leaves.
+	Leave bool `json:"leave"`
+	// Hold keeps requests until it is switched off.
+	Hold bool `json:"hold"`
+}
+
+// Record is what the target saw of one request.
+type Record struct {
+	At     time.Time `json:"at"`
+	Method string    `json:"method"`
+	Path   string    `json:"path"`
+	Root   string    `json:"root"`
+	Body   string    `json:"body"`
+	// Head is all headers as text, to look for what should not be there.
+	Head string `json:"head"`
+}
+
+// Target is one stand-in.
+type Target struct {
+	config   Config
+	instance string
+	client   *http.Client
+	server   *http.Server
+	started  time.Time
+	slots    chan struct{}
+
+	mu      sync.Mutex
+	faults  Faults
+	changed chan struct{}
+	records []Record
+	count   int
+}
+
+// New returns a target that does not run yet.
+func New(c Config) *Target {
+	if c.Exit == nil {
+		c.Exit = func() { os.Exit(1) }
+	}
+	return &Target{
+		config:   c,
+		instance: uuid.NewString(),
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: c.Slots}},
+		slots:    make(chan struct{}, c.Slots),
+		changed:  make(chan struct{}),
+	}
+}
+
+// SetFaults switches the faults.
+func (t *Target) SetFaults(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+func (t *Target) now() (Faults, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults, t.changed
+}
+
+// Records returns what the target saw so far.
+func (t *Target) Records() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Record(nil), t.records...)
+}
+
+// Run serves until ctx ends.
+func (t *Target) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", t.config.Address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	t.started = time.Now()
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /standin/faults", t.serveFaults)
+	mux.HandleFunc("GET /standin/records", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(t.Records())
+	})
+	mux.HandleFunc("GET /standin/health", t.serveHealth)
+	mux.HandleFunc("/", t.serve)
+	t.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go t.announce(ctx)
+	go func() {
+		<-ctx.Done()
+		_ = t.server.Close()
+	}()
+	if err := t.server.Serve(listener); ctx.Err() == nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+func (t *Target) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.SetFaults(f)
+}
+
+func (t *Target) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	f, _ := t.now()
+	if (f.Fail != 0) != f.Lie {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// announce tells the node about the target again and again.
+func (t *Target) announce(ctx context.Context) {
+	ticker := time.NewTicker(announceEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		f, _ := t.now()
+		t.tell(ctx, serve.Announcement{
+			Service:     t.config.Service,
+			Instance:    t.instance,
+			Address:     t.config.Address,
+			Slots:       t.config.Slots,
+			Connections: t.config.Connections,
+			Echo:        t.config.Echo,
+			Leaving:     f.Leave,
+		})
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *Target) tell(ctx context.Context, a serve.Announcement) {
+	body, err := json.Marshal(a)
+	if err != nil {
+		return
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+t.config.Node+"/chestnut/announce", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+}
+
+// serve runs one request of the node.
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	t.record(r, body)
+	f, changed := t.now()
+	if f.Crash && strings.Contains(string(body)+r.URL.RawQuery, crashMark) {
+		_ = t.server.Close()
+		t.config.Exit()
+		return
+	}
+	select {
+	case t.slots <- struct{}{}:
+		defer func() { <-t.slots }()
+	case <-r.Context().Done():
+		return
+	}
+	for f.Hold {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+			f, changed = t.now()
+		}
+	}
+	if !t.work(r.Context(), f) || !t.calls(r, f, w) {
+		return
+	}
+	t.answer(w, r, f, body)
+}
+
+func (t *Target) record(r *http.Request, body []byte) {
+	var head strings.Builder
+	_ = r.Header.Write(&head)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.count++
+	if len(t.records) < maxRecords {
+		t.records = append(t.records, Record{time.Now(), r.Method, r.URL.Path, r.Header.Get(wire.RootHeader), string(body), head.String()})
+	}
+}
+
+// work holds the slot for the service time, exponential around its mean.
+func (t *Target) work(ctx context.Context, f Faults) bool {
+	factor := max(f.Slow, 1)
+	if time.Since(t.started) < t.config.Cold {
+		factor *= coldFactor
+	}
+	d := time.Duration(float64(t.config.Time) * factor * (0.5 + 0.5*rand.ExpFloat64()))
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// calls makes the inner calls of a request. It reports false when one failed,
+// and has answered then.
+func (t *Target) calls(r *http.Request, f Faults, w http.ResponseWriter) bool {
+	for _, c := range t.config.Calls {
+		if !strings.HasPrefix(r.URL.Path, c.Under) {
+			continue
+		}
+		status := http.StatusBadGateway
+		for range max(1, f.Repeat) {
+			if status = t.call(r, c); status < http.StatusInternalServerError && f.Repeat == 0 {
+				break
+			}
+		}
+		if status >= http.StatusBadRequest {
+			http.Error(w, "inner call failed", http.StatusBadGateway)
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Target) call(r *http.Request, c deployment.Call) int {
+	req, err := http.NewRequestWithContext(r.Context(), c.Method, "http://"+t.config.Node+c.Path, nil)
+	if err != nil {
+		return http.StatusBadGateway
+	}
+	req.Header.Set(wire.TokenHeader, r.Header.Get(wire.TokenHeader))
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return http.StatusBadGateway
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// answer repeats the request's body, so that callers can tell their own answer.
+func (t *Target) answer(w http.ResponseWriter, r *http.Request, f Faults, body []byte) {
+	echo := r.Header.Get(wire.EchoHeader)
+	if f.Cross {
+		echo = uuid.NewString()
+	}
+	if t.config.Echo {
+		w.Header().Set(wire.EchoHeader, echo)
+	}
+	if f.Fail != 0 {
+		http.Error(w, "switched to fail", f.Fail)
+		return
+	}
+	text := fmt.Sprintf("%s %s %s", t.config.Service, r.URL.Path, body)
+	if f.Huge > 0 {
+		text = strings.Repeat("x", f.Huge)
+	}
+	if f.Cut {
+		w.Header().Set("Content-Length", fmt.Sprint(len(text)+10))
+		_, _ = io.WriteString(w, text)
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, text)
+}
--- /dev/null
+++ b/internal/traffic/entry/check.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strings"
+
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/poison"
+	"chestnutshed.example/chestnutshed/internal/traffic/wire"
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxPath bounds path and query of a request, in bytes.
+const maxPath = 8 << 10
+
+// checkShape refuses requests that two HTTP implementations may read in two
+// ways, or that aren't plain calls.
+func checkShape(r *http.Request) *failure.Refusal {
+	path := r.URL.EscapedPath()
+	lower := strings.ToLower(path)
+	switch {
+	case r.Method == http.MethodConnect || r.Method == http.MethodTrace:
+		return failure.New(failure.BadRequest, "method %s is not allowed", r.Method)
+	case len(r.RequestURI) > maxPath:
+		return failure.New(failure.BadRequest, "path and query are over %d bytes", maxPath)
+	case !strings.HasPrefix(path, "/") || r.URL.IsAbs():
+		return failure.New(failure.BadRequest, "the request target must be a path")
+	case strings.Contains(path, "//") || strings.Contains(path, "\\"):
+		return failure.New(failure.BadRequest, "the path has empty segments or backslashes")
+	case strings.Contains(lower, "%2f") || strings.Contains(lower, "%5c") || strings.Contains(lower, "%00") || strings.Contains(lower, "%2e"):
+		return failure.New(failure.BadRequest, "the path has encoded separators")
+	case hasDotSegment(path):
+		return failure.New(failure.BadRequest, "the path has dot segments")
+	case r.Header.Get("Upgrade") != "":
+		return failure.New(failure.BadRequest, "upgrades are not supported")
+	case len(r.TransferEncoding) > 1 || (len(r.TransferEncoding) == 1 && r.Header.Get("Content-Length") != ""):
+		return failure.New(failure.BadRequest, "the length of the body is ambiguous")
+	}
+	return nil
+}
+
+func hasDotSegment(path string) bool {
+	for part := range strings.SplitSeq(path, "/") {
+		if part == "." || part == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// keyOf returns the key of a request; "" when it has none.
+func keyOf(r *http.Request) (string, *failure.Refusal) {
+	values := r.Header.Values("Authorization")
+	if len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 {
+		return "", failure.New(failure.BadKey, "more than one Authorization header")
+	}
+	scheme, key, ok := strings.Cut(values[0], " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || key == "" || strings.ContainsAny(key, " ,") {
+		return "", failure.New(failure.BadKey, "Authorization must be \"Bearer KEY\"")
+	}
+	return key, nil
+}
+
+// keyElsewhere reports whether the key stands in a part of the request that
+// goes to the target.
+func keyElsewhere(r *http.Request, key string, body []byte) bool {
+	if key == "" {
+		return false
+	}
+	if strings.Contains(r.RequestURI, key) || bytes.Contains(body, []byte(key)) {
+		return true
+	}
+	for name, values := range r.Header {
+		if name == "Authorization" {
+			continue
+		}
+		for _, v := range values {
+			if strings.Contains(v, key) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// readBody takes the whole body, at most limit bytes.
+func readBody(r *http.Request, limit int64) ([]byte, *failure.Refusal) {
+	if r.ContentLength > limit {
+		return nil, failure.New(failure.TooLarge, "the body has %d bytes, the route takes %d", r.ContentLength, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, failure.New(failure.BadRequest, "the body was cut or came too slowly")
+	}
+	if int64(len(body)) > limit {
+		return nil, failure.New(failure.TooLarge, "the body is over the %d bytes that the route takes", limit)
+	}
+	return body, nil
+}
+
+// printOf identifies requests that are alike.
+func printOf(organisation, method, target string, body []byte) poison.Print {
+	d := xxhash.New()
+	for _, part := range []string{organisation, method, target} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return poison.Print(hex.EncodeToString(d.Sum(nil)))
+}
+
+// forged reports whether a caller sent one of our own headers.
+func forged(h http.Header) bool {
+	for name := range h {
+		if strings.HasPrefix(name, wire.Prefix) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/traffic/entry/inner.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/traffic/sender"
+	"chestnutshed.example/chestnutshed/internal/traffic/serve"
+	"chestnutshed.example/chestnutshed/internal/traffic/wire"
+)
+
+// serveInner carries a call that the own target makes to another service.
+func (s *Service) serveInner(w http.ResponseWriter, req *http.Request) {
+	parent, ok := s.Serve.Parent(req.Header.Get(wire.TokenHeader))
+	if !ok {
+		failure.New(failure.BadKey, "the %s header names no running call", wire.TokenHeader).Write(w)
+		return
+	}
+	write(w, parent.Call.Root, s.handleInner(req, parent))
+}
+
+func (s *Service) handleInner(req *http.Request, parent *serve.Parent) sender.Result {
+	c := s.Config.Get()
+	if c == nil {
+		return refused(failure.New(failure.NotReady, "no configuration yet"))
+	}
+	if refusal := checkShape(req); refusal != nil {
+		return refused(refusal)
+	}
+	route := c.Index.Match(req.Method, req.URL.Path)
+	switch {
+	case route == nil:
+		return refused(failure.New(failure.NoRoute, "no route for %s %s", req.Method, req.URL.Path))
+	case parent.Call.Depth >= wire.MaxDepth:
+		return refused(failure.New(failure.Loop, "the chain of calls is over %d long", wire.MaxDepth))
+	case !route.Idempotent && parent.Call.Idempotent:
+		return refused(failure.New(failure.Unsafe, "a call that is not idempotent under a request that may be repeated"))
+	}
+	body, refusal := readBody(req, route.Body)
+	if refusal != nil {
+		return refused(refusal)
+	}
+	s.Serve.Called(time.Now(), parent.Call.Route, serve.Child{Service: route.Service, Route: route.Name})
+	return s.runInner(req, parent, route, body)
+}
+
+// runInner sends an inner call, once per key: a repeat of a call that is not
+// idempotent gets the outcome of the first.
+func (s *Service) runInner(req *http.Request, parent *serve.Parent, route *manifest.Route, body []byte) sender.Result {
+	key := innerKey(req, body)
+	inner, run, allowed := parent.Begin(key, route.Idempotent)
+	if !allowed {
+		return refused(failure.New(failure.Retries, "the root has no extra sends left").WithRan(repeatRan(route)))
+	}
+	if !run {
+		return s.awaitInner(req, inner)
+	}
+	lent := parent.Lend()
+	m := innerMessage(req, parent, route, body, lent)
+	result := s.Sender.Send(req.Context(), m)
+	parent.Return(result.Unused, lent)
+	notRun := result.Refusal != nil && result.Refusal.Ran == failure.RanNo
+	parent.End(inner, result, notRun)
+	return result
+}
+
+// repeatRan is what a refused repeat says of the call's effect: the first send
+// of a call that is not idempotent may have run.
+func repeatRan(route *manifest.Route) failure.Ran {
+	if route.Idempotent {
+		return failure.RanNo
+	}
+	return failure.RanUnknown
+}
+
+func (s *Service) awaitInner(req *http.Request, inner *serve.Inner) sender.Result {
+	select {
+	case <-inner.Done:
+		if result, ok := inner.Outcome.(sender.Result); ok {
+			return result
+		}
+	case <-req.Context().Done():
+	}
+	return refused(failure.New(failure.Lost, "the first send of the call has no outcome").WithRan(failure.RanUnknown))
+}
+
+// innerKey identifies a call under its parent: by the target's own key when it
+// has one, else by all of the request.
+func innerKey(req *http.Request, body []byte) string {
+	own := req.Header.Get(ticketHeader)
+	if own != "" {
+		return req.Method + " " + req.URL.Path + " " + own
+	}
+	return string(printOf("", req.Method, req.URL.RequestURI(), body))
+}
+
+func innerMessage(req *http.Request, parent *serve.Parent, route *manifest.Route, body []byte, lent int) sender.Message {
+	p := parent.Call
+	deadline := time.Now().Add(time.Duration(route.Deadline))
+	if parent.Deadline.Before(deadline) {
+		deadline = parent.Deadline
+	}
+	return sender.Message{
+		Call: wire.Call{
+			Root:         p.Root,
+			Organisation: p.Organisation,
+			Share:        p.Share,
+			Route:        route.Name,
+			Service:      route.Service,
+			Method:       req.Method,
+			Target:       req.URL.RequestURI(),
+			Score:        p.Score,
+			Depth:        p.Depth + 1,
+			Idempotent:   route.Idempotent,
+			Extra:        lent,
+			Print:        printOf(p.Organisation, req.Method, req.URL.RequestURI(), body),
+			Answer:       route.Answer,
+		},
+		Header:   wire.Forward(req.Header),
+		Body:     body,
+		Deadline: deadline,
+	}
+}
--- /dev/null
+++ b/internal/traffic/peers/peers.go
@@ -0,0 +1,105 @@
+// Package peers is the listener for other nodes of the fleet, and the client
+// towards them.
+package peers
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/core/listen"
+	"chestnutshed.example/chestnutshed/internal/traffic/wire"
+)
+
+// Name of the service.
+const Name = "peers"
+
+// Service serves the peers' listener. Other services add their handlers before
+// the kernel starts it.
+type Service struct {
+	settings settings.Settings
+	mux      *http.ServeMux
+	proof    string
+	server   *listen.Server
+}
+
+// New returns the service for a node's settings.
+func New(s settings.Settings) *Service {
+	return &Service{settings: s, mux: http.NewServeMux(), proof: Proof(s.FleetSecret())}
+}
+
+// Proof is what a peer shows to prove that it knows the fleet secret.
+func Proof(secret []byte) string {
+	h := hmac.New(sha256.New, secret)
+	h.Write([]byte("peer"))
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// Handle adds a handler for a pattern of http.ServeMux.
+func (s *Service) Handle(pattern string, h http.HandlerFunc) { s.mux.HandleFunc(pattern, h) }
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Start implements kernel.Service.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	server, err := listen.Start(k, "peers", s.settings.Peers, http.HandlerFunc(s.serve))
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	s.server = server
+	return nil
+}
+
+// serve lets only peers in that know the fleet secret.
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	shown := r.Header.Get(wire.SecretHeader)
+	if !hmac.Equal([]byte(shown), []byte(s.proof)) {
+		http.Error(w, "not a peer of this fleet", http.StatusForbidden)
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(ctx context.Context) error { return s.server.Stop(ctx) }
+
+// State implements kernel.Service.
+func (s *Service) State() any {
+	return struct {
+		Address string `json:"address"`
+	}{s.settings.Peers.Address}
+}
+
+// signEvery is the time between signs of life while an answer is prepared.
+const signEvery = 400 * time.Millisecond
+
+// firstSign is when the first sign of life is sent.
+const firstSign = 100 * time.Millisecond
+
+// Alive runs work and sends "102 Processing" answers while it lasts, so that
+// the peer can tell a slow answer from a silent connection.
+func Alive(w http.ResponseWriter, work func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		work()
+	}()
+	timer := time.NewTimer(firstSign)
+	defer timer.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-timer.C:
+			w.WriteHeader(http.StatusProcessing)
+			timer.Reset(signEvery)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/serve/poison.go
@@ -0,0 +1,89 @@
+package serve
+
+import (
+	"sync"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/fleet/gossip"
+	"chestnutshed.example/chestnutshed/internal/policy/poison"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Poison shares what is known of requests that crash targets.
+type Poison struct {
+	gossip *gossip.Service
+
+	mu    sync.Mutex
+	table *poison.Table
+}
+
+// NewPoison returns an empty table that is shared through gossip.
+func NewPoison(g *gossip.Service) *Poison {
+	p := &Poison{gossip: g, table: poison.New()}
+	g.Share(p)
+	return p
+}
+
+// Banned reports whether a fingerprint is refused.
+func (p *Poison) Banned(now time.Time, fp poison.Print) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Banned(now, fp)
+}
+
+// Suspect reports whether a fingerprint was in flight at a crash.
+func (p *Poison) Suspect(now time.Time, fp poison.Print) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Suspect(now, fp)
+}
+
+// Cleared forgets a suspect that ran to its end.
+func (p *Poison) Cleared(fp poison.Print) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Cleared(fp)
+}
+
+// Crashed accuses what was in flight when a target crashed.
+func (p *Poison) Crashed(now time.Time, target string, inFlight []poison.Print) {
+	p.mu.Lock()
+	records := p.table.Crashed(now, target, inFlight)
+	p.mu.Unlock()
+	p.gossip.Tell(gossip.Message{Prints: records})
+}
+
+// Learn implements gossip.Topic.
+func (p *Poison) Learn(now time.Time, m gossip.Message) gossip.Message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var fresh gossip.Message
+	for _, r := range m.Prints {
+		if p.table.Learn(now, r) {
+			fresh.Prints = append(fresh.Prints, r)
+		}
+	}
+	return fresh
+}
+
+// Each implements gossip.Topic. Only bans are compared: suspicions are short.
+func (p *Poison) Each(visit func(key string, hash uint64)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.table.Bans(time.Now()) {
+		visit(string(r.Print), xxhash.Sum64String(string(r.Print)))
+	}
+}
+
+// Gather implements gossip.Topic.
+func (p *Poison) Gather(now time.Time, match func(key string) bool) gossip.Message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var m gossip.Message
+	for _, r := range p.table.Bans(now) {
+		if match(string(r.Print)) {
+			m.Prints = append(m.Prints, r)
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/traffic/serve/serve.go
@@ -0,0 +1,512 @@
+// Package serve runs calls on the node's own target: all work for the target
+// passes here, so slots in use are known exactly.
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/gossip"
+	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"chestnutshed.example/chestnutshed/internal/policy/gate"
+	"chestnutshed.example/chestnutshed/internal/policy/health"
+	"chestnutshed.example/chestnutshed/internal/policy/level"
+	"chestnutshed.example/chestnutshed/internal/policy/poison"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
+	"chestnutshed.example/chestnutshed/internal/policy/resend"
+	"chestnutshed.example/chestnutshed/internal/traffic/peers"
+	"chestnutshed.example/chestnutshed/internal/traffic/wire"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+)
+
+// Name of the service.
+const Name = "serve"
+
+// maxRequest bounds a request between nodes, in bytes.
+const maxRequest = 64 << 20
+
+// depLife is how long a route counts as calling another one.
+const depLife = 5 * time.Second
+
+// Downstream tells what the nodes of a service admit for a route.
+type Downstream interface {
+	Cut(now time.Time, service, route string) priority.Cut
+}
+
+// Child is a route that calls of another route make.
+type Child struct {
+	Service string
+	Route   string
+}
+
+// Service runs calls on the own target.
+type Service struct {
+	gossip     *gossip.Service
+	poison     *Poison
+	downstream Downstream
+	log        *logrus.Entry
+	tokens     *tokens
+	// suspect lets one suspect of a crash run at a time.
+	suspect chan struct{}
+
+	mu       sync.Mutex
+	gate     *gate.Gate
+	health   health.Health
+	target   *client
+	renewed  time.Time
+	nextID   uint64
+	waiting  map[uint64]chan *failure.Refusal
+	running  map[uint64]poison.Print
+	children map[string]map[Child]time.Time
+	draining bool
+
+	whole   *metrics.Counter
+	failed  *metrics.Counter
+	latency *metrics.Summary
+	set     *metrics.Set
+}
+
+// New returns the service without a target.
+func New(g *gossip.Service, p *Poison, d Downstream, set *metrics.Set, log *logrus.Entry) *Service {
+	return &Service{
+		gossip:     g,
+		poison:     p,
+		downstream: d,
+		log:        log,
+		tokens:     newTokens(),
+		suspect:    make(chan struct{}, 1),
+		gate:       gate.New(gate.Standard()),
+		waiting:    map[uint64]chan *failure.Refusal{},
+		running:    map[uint64]poison.Print{},
+		children:   map[string]map[Child]time.Time{},
+		whole:      set.NewCounter("chestnutshed_target_answers_total"),
+		failed:     set.NewCounter("chestnutshed_target_failures_total"),
+		latency:    set.NewSummary("chestnutshed_target_seconds"),
+		set:        set,
+	}
+}
+
+// Routes adds the handler to the peers' listener.
+func (s *Service) Routes(p *peers.Service) { p.Handle("POST /peer/call", s.serveCall) }
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Start implements kernel.Service.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	k.Go(s.tick)
+	return nil
+}
+
+// tick moves the level and ends announcements that were not renewed.
+func (s *Service) tick(ctx context.Context) error {
+	ticker := time.NewTicker(level.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.mu.Lock()
+			s.gate.Tick(now)
+			lapsed := s.target != nil && now.Sub(s.renewed) > announceLife
+			s.mu.Unlock()
+			if lapsed {
+				s.lose("its announcements stopped")
+			}
+		}
+	}
+}
+
+// Announce takes an announcement of the own target. It returns the error of
+// Validate for a bad one.
+func (s *Service) Announce(now time.Time, a Announcement) error {
+	if err := a.Validate(); err != nil {
+		return fmt.Errorf("announcement: %w", err)
+	}
+	s.mu.Lock()
+	s.renewed = now
+	changed := s.target == nil || s.target.announcement != a
+	if changed {
+		if s.target == nil || s.target.announcement.Instance != a.Instance {
+			s.health = health.Health{}
+		}
+		s.target = newClient(a)
+		s.apply(s.gate.SetSlots(now, a.Slots))
+	}
+	s.mu.Unlock()
+	if changed {
+		s.log.WithField("service", a.Service).WithField("slots", a.Slots).Info("target is ready")
+		s.publish()
+	}
+	return nil
+}
+
+// publish tells peers about the own target.
+func (s *Service) publish() {
+	s.mu.Lock()
+	var a Announcement
+	if s.target != nil {
+		a = s.target.announcement
+	}
+	failing, draining := s.health.Failing(), s.draining
+	s.mu.Unlock()
+	s.gossip.Update(func(r member.Record) member.Record {
+		r.Service, r.Slots, r.Instance = a.Service, a.Slots, a.Instance
+		r.Failing = failing
+		r.Leaving = draining || a.Leaving
+		return r
+	})
+}
+
+// lose notes that the own target is gone.
+func (s *Service) lose(why string) {
+	s.mu.Lock()
+	if s.target == nil {
+		s.mu.Unlock()
+		return
+	}
+	name := s.target.String()
+	s.target = nil
+	s.apply(s.gate.SetSlots(time.Now(), 0))
+	s.mu.Unlock()
+	s.log.WithField("target", name).Warn("target is gone: ", why)
+	s.publish()
+}
+
+// Drain stops taking new calls; those under way and their inner calls go on.
+func (s *Service) Drain() {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	s.publish()
+}
+
+// Busy is the number of calls running or waiting.
+func (s *Service) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.running) + len(s.waiting)
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.Drain()
+	return nil
+}
+
+// Parent returns the running call that a call token belongs to.
+func (s *Service) Parent(token string) (*Parent, bool) { return s.tokens.get(token) }
+
+// Called notes that calls of one route make calls of another.
+func (s *Service) Called(now time.Time, route string, child Child) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.children[route] == nil {
+		s.children[route] = map[Child]time.Time{}
+	}
+	s.children[route][child] = now
+}
+
+// cut is the least that this node and the nodes further down admit for calls
+// of a route.
+func (s *Service) cut(now time.Time, route string) priority.Cut {
+	s.mu.Lock()
+	least := s.gate.Cut()
+	var live []Child
+	for child, last := range s.children[route] {
+		if now.Sub(last) > depLife {
+			delete(s.children[route], child)
+			continue
+		}
+		live = append(live, child)
+	}
+	s.mu.Unlock()
+	for _, child := range live {
+		least = min(least, s.downstream.Cut(now, child.Service, child.Route))
+	}
+	return least
+}
+
+// serveCall runs a call from another node.
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	call, err := wire.DecodeCall(r.Header)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
+	if err != nil {
+		http.Error(w, "the body was cut", http.StatusBadRequest)
+		return
+	}
+	var reply peers.Reply
+	peers.Alive(w, func() { reply = s.Call(r.Context(), call, wire.PassOn(r.Header), body) })
+	WriteReply(w, reply)
+}
+
+// WriteReply sends a reply to a call of another node.
+func WriteReply(w http.ResponseWriter, reply peers.Reply) {
+	outcome, err := wire.Encode(reply.Outcome)
+	if err != nil {
+		http.Error(w, "outcome too large", http.StatusInternalServerError)
+		return
+	}
+	h := w.Header()
+	for name, values := range reply.Header {
+		h[name] = values
+	}
+	h.Set(wire.OutcomeHeader, outcome)
+	h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	_, _ = w.Write(reply.Body)
+}
+
+// Call runs one call on the own target.
+func (s *Service) Call(ctx context.Context, call wire.Call, header http.Header, body []byte) peers.Reply {
+	deadline := time.Now().Add(call.Left)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	o := wire.Outcome{ID: call.ID, Unused: call.Extra}
+	a, refusal := s.run(ctx, call, deadline, header, body, &o.Unused)
+	now := time.Now()
+	o.Cut = s.cut(now, call.Route)
+	s.mu.Lock()
+	o.Load, o.Failing, o.Leaving = s.gate.Load(), s.health.Failing(), s.draining
+	s.mu.Unlock()
+	if refusal != nil {
+		o.Refusal, o.After = refusal, refusal.After
+		s.set.GetOrCreateCounter(fmt.Sprintf(`chestnutshed_target_refusals_total{reason=%q}`, refusal.Reason)).Inc()
+		return peers.Reply{Outcome: o}
+	}
+	o.Status = a.status
+	return peers.Reply{Outcome: o, Header: wire.PassOn(a.header), Body: a.body}
+}
+
+func (s *Service) run(ctx context.Context, call wire.Call, deadline time.Time, header http.Header, body []byte, unused *int) (answer, *failure.Refusal) {
+	if s.poison.Banned(time.Now(), call.Print) {
+		return answer{}, failure.New(failure.Poison, "the request has crashed targets")
+	}
+	if s.poison.Suspect(time.Now(), call.Print) {
+		select {
+		case s.suspect <- struct{}{}:
+			defer func() { <-s.suspect }()
+		case <-ctx.Done():
+			return answer{}, failure.New(failure.Deadline, "the request waited for another suspect of a crash")
+		}
+	}
+	if refusal := s.refuseEarly(call); refusal != nil {
+		return answer{}, refusal
+	}
+	id, target, refusal := s.admit(ctx, call, deadline)
+	if refusal != nil {
+		return answer{}, refusal
+	}
+	call.Left = time.Until(deadline)
+	return s.onTarget(ctx, id, target, call, deadline, header, body, unused)
+}
+
+// refuseEarly refuses what could only be lost here or further down.
+func (s *Service) refuseEarly(call wire.Call) *failure.Refusal {
+	now := time.Now()
+	cut := s.cut(now, call.Route)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.draining || (s.target != nil && s.target.announcement.Leaving):
+		return failure.New(failure.Leaving, "the target is leaving")
+	case s.target == nil || s.target.announcement.Service != call.Service:
+		return failure.New(failure.NotReady, "the node has no target of the service")
+	case cut < s.gate.Cut() && !cut.Admits(call.Score, call.Depth):
+		return failure.New(failure.Overload, "a service further down is overloaded").WithAfter(time.Second)
+	}
+	var ok bool
+	if s.health, ok = s.health.WithProbe(now); !ok && !call.Forced {
+		return failure.New(failure.NotReady, "the target fails most requests")
+	}
+	return nil
+}
+
+// admit waits for a slot of the target.
+func (s *Service) admit(ctx context.Context, call wire.Call, deadline time.Time) (uint64, *client, *failure.Refusal) {
+	s.mu.Lock()
+	s.nextID++
+	id := s.nextID
+	verdict, moves := s.gate.Offer(time.Now(), gate.Request{
+		ID:           id,
+		Route:        call.Route,
+		Score:        call.Score,
+		Organisation: call.Organisation,
+		Share:        call.Share,
+		Depth:        call.Depth,
+		Deadline:     deadline,
+	})
+	started := make(chan *failure.Refusal, 1)
+	switch v := verdict.(type) {
+	case gate.Refuse:
+		s.apply(moves)
+		s.mu.Unlock()
+		return 0, nil, failure.New(v.Reason, "the target has no room").WithAfter(v.After)
+	case gate.Start:
+		started <- nil
+	case gate.Wait:
+		s.waiting[id] = started
+	}
+	s.apply(moves)
+	s.mu.Unlock()
+	select {
+	case refusal := <-started:
+		if refusal != nil {
+			return 0, nil, refusal
+		}
+	case <-ctx.Done():
+		if refusal := s.withdraw(id, started); refusal != nil {
+			return 0, nil, refusal
+		}
+	}
+	return s.take(id, call)
+}
+
+// withdraw takes a request out of the queue whose caller has gone. It returns
+// nil when the request got its slot in the same moment.
+func (s *Service) withdraw(id uint64, started chan *failure.Refusal) *failure.Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gate.Cancel(id) {
+		delete(s.waiting, id)
+		return failure.New(failure.Deadline, "the deadline passed or the caller went while the request waited")
+	}
+	return <-started
+}
+
+// take binds a slot to the present target.
+func (s *Service) take(id uint64, call wire.Call) (uint64, *client, *failure.Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.target == nil {
+		s.apply(s.gate.Done(time.Now(), id, gate.Aborted))
+		return 0, nil, failure.New(failure.NotReady, "the target has gone")
+	}
+	s.running[id] = call.Print
+	return id, s.target, nil
+}
+
+// apply tells waiting requests what became of them. The caller holds mu.
+func (s *Service) apply(moves gate.Moves) {
+	for _, id := range moves.Started {
+		s.waiting[id] <- nil
+		delete(s.waiting, id)
+	}
+	for _, left := range moves.Left {
+		s.waiting[left.ID] <- failure.New(left.Reason, "the request had to leave the queue")
+		delete(s.waiting, left.ID)
+	}
+}
+
+// onTarget runs a request that has a slot.
+func (s *Service) onTarget(ctx context.Context, id uint64, target *client, call wire.Call, deadline time.Time, header http.Header, body []byte, unused *int) (answer, *failure.Refusal) {
+	token, parent := s.tokens.add(call, deadline)
+	began := time.Now()
+	a, refusal := target.send(ctx, call, token, header, body)
+	s.tokens.remove(token)
+	*unused = parent.left()
+	s.latency.UpdateDuration(began)
+	if refusal != nil && (refusal.Reason == failure.Lost || refusal.Reason == failure.NotReady) {
+		s.checkCrash(target)
+	}
+	s.done(id, call, a, refusal)
+	return a, refusal
+}
+
+func (s *Service) done(id uint64, call wire.Call, a answer, refusal *failure.Refusal) {
+	result, failed := gate.Answered, false
+	switch {
+	case refusal != nil && refusal.Reason == failure.Deadline:
+		result = gate.Aborted
+	case refusal != nil:
+		result, failed = gate.Aborted, true
+	case a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests:
+		result, failed = gate.Rejected, resend.Failed(a.status)
+	default:
+		failed = resend.Failed(a.status)
+	}
+	s.mu.Lock()
+	delete(s.running, id)
+	s.apply(s.gate.Done(time.Now(), id, result))
+	before := s.health.Failing()
+	if result != gate.Aborted || failed {
+		s.health = s.health.WithAnswer(failed)
+	}
+	changed := before != s.health.Failing()
+	s.mu.Unlock()
+	if failed {
+		s.failed.Inc()
+	} else {
+		s.whole.Inc()
+		s.poison.Cleared(call.Print)
+	}
+	if changed {
+		s.log.WithField("failing", !before).Warn("target health changed")
+		s.publish()
+	}
+}
+
+// checkCrash finds out whether the target has crashed, and accuses what was in
+// flight.
+func (s *Service) checkCrash(target *client) {
+	if !target.refuses() {
+		return
+	}
+	s.mu.Lock()
+	if s.target != target {
+		s.mu.Unlock()
+		return
+	}
+	var inFlight []poison.Print
+	for _, p := range s.running {
+		inFlight = append(inFlight, p)
+	}
+	s.mu.Unlock()
+	s.poison.Crashed(time.Now(), target.announcement.Instance, inFlight)
+	s.lose("its port refuses connections")
+}
+
+// State implements kernel.Service.
+func (s *Service) State() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := struct {
+		Target   *Announcement `json:"target"`
+		Gate     gate.State    `json:"gate"`
+		Failures float64       `json:"failure_ratio"`
+		Failing  bool          `json:"failing"`
+		Draining bool          `json:"draining"`
+	}{Gate: s.gate.State(), Failures: s.health.Ratio(), Failing: s.health.Failing(), Draining: s.draining}
+	if s.target != nil {
+		a := s.target.announcement
+		state.Target = &a
+	}
+	return state
+}
+
+// ServeAnnounce takes announcements on the target's listener.
+func (s *Service) ServeAnnounce(w http.ResponseWriter, r *http.Request) {
+	var a Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4<<10))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&a)
+	if err == nil {
+		err = s.Announce(time.Now(), a)
+	}
+	if err != nil {
+		failure.New(failure.BadRequest, "%v", err).Write(w)
+	}
+}
--- /dev/null
+++ b/internal/traffic/serve/tokens.go
@@ -0,0 +1,116 @@
+package serve
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/policy/budget"
+	"chestnutshed.example/chestnutshed/internal/traffic/wire"
+)
+
+// Parent is a call that runs on the target, as its inner calls see it.
+type Parent struct {
+	Call     wire.Call
+	Deadline time.Time
+
+	mu    sync.Mutex
+	extra *budget.Call
+	inner map[string]*Inner
+}
+
+// Inner is one send of a call that the target makes under a parent. Repeats of
+// a non-idempotent one get the same outcome.
+type Inner struct {
+	// Done is closed when Outcome is set.
+	Done    chan struct{}
+	Outcome any
+	// notRun is set when the send provably had no effect.
+	notRun bool
+}
+
+// Lend takes out the extra sends that go with an inner call.
+func (p *Parent) Lend() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.extra.Lend()
+}
+
+// Return takes back what an inner call did not use.
+func (p *Parent) Return(unused, lent int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.extra.Return(unused, lent)
+}
+
+// Begin notes an inner call by its key. Any but the first with a key is a
+// repeat, which uses one extra send and is not allowed without one. Run is set
+// when the call is to be sent, and not when the outcome of its first send
+// counts.
+func (p *Parent) Begin(key string, idempotent bool) (inner *Inner, run, allowed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, repeat := p.inner[key]
+	if repeat && !p.extra.Spend() {
+		return nil, false, false
+	}
+	if repeat && !idempotent && !known.notRun {
+		return known, false, true
+	}
+	inner = &Inner{Done: make(chan struct{})}
+	p.inner[key] = inner
+	return inner, true, true
+}
+
+// End notes the outcome of a send that Begin allowed.
+func (p *Parent) End(inner *Inner, outcome any, notRun bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	inner.Outcome, inner.notRun = outcome, notRun
+	close(inner.Done)
+}
+
+func (p *Parent) left() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.extra.Left()
+}
+
+// tokens maps call tokens to the calls that run on the target.
+type tokens struct {
+	mu      sync.Mutex
+	parents map[string]*Parent
+}
+
+func newTokens() *tokens { return &tokens{parents: map[string]*Parent{}} }
+
+// add returns a new token for a call.
+func (t *tokens) add(call wire.Call, deadline time.Time) (string, *Parent) {
+	raw := make([]byte, 16)
+	_, _ = rand.Read(raw)
+	token := hex.EncodeToString(raw)
+	p := &Parent{
+		Call:     call,
+		Deadline: deadline,
+		extra:    budget.NewCall(call.Extra),
+		inner:    map[string]*Inner{},
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.parents[token] = p
+	return token, p
+}
+
+func (t *tokens) remove(token string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.parents, token)
+}
+
+func (t *tokens) get(token string) (*Parent, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.parents[token]
+	return p, ok
+}
