--- /dev/null
+++ b/cmd/standin/experiment.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+
+	"chestnutshed.example/chestnutshed/internal/standin/experiment"
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+)
+
+const experimentUsage = `Measure the decision packages in virtual time.
+
+NAME is a scenario or "all". Each runs on both deployments' sizes with the
+standard rules and the baselines, and with --alternatives with what else was
+weighed. The table goes to standard output, plots into the --out folder.`
+
+type experimentCommand struct {
+	out io.Writer
+
+	Seeds        []uint64 `long:"seed" default:"1" description:"seed of the run; may be repeated"`
+	Deployments  []string `long:"deployment" default:"budapest" default:"mexico" description:"deployment; may be repeated"`
+	Variants     []string `long:"variant" description:"run only this variant; may be repeated"`
+	Alternatives bool     `long:"alternatives" description:"run the alternatives that were weighed too"`
+	Classes      bool     `long:"classes" description:"list answers by kind and refusals by reason"`
+	Out          string   `long:"out" value-name:"FOLDER" description:"folder for plots; it must exist"`
+	Args         struct {
+		Name string `positional-arg-name:"NAME" required:"true"`
+	} `positional-args:"true"`
+}
+
+// job is one run.
+type job struct {
+	deployment string
+	scenario   string
+	variant    experiment.Variant
+	seed       uint64
+}
+
+// Execute implements flags.Commander.
+func (c *experimentCommand) Execute([]string) error {
+	jobs, err := c.jobs()
+	if err != nil {
+		return err
+	}
+	results := make([]experiment.Result, len(jobs))
+	var group errgroup.Group
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	for i, j := range jobs {
+		group.Go(func() error {
+			var err error
+			results[i], err = experiment.Run(j.deployment, j.scenario, j.variant, j.seed)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("run experiment: %w", err)
+	}
+	experiment.Sort(results)
+	if _, err := io.WriteString(c.out, experiment.Table(results)); err != nil {
+		return err
+	}
+	if c.Classes {
+		if _, err := io.WriteString(c.out, experiment.Classes(results)); err != nil {
+			return err
+		}
+	}
+	if c.Out == "" {
+		return nil
+	}
+	return c.plots(results)
+}
+
+func (c *experimentCommand) jobs() ([]job, error) {
+	names := []string{c.Args.Name}
+	if c.Args.Name == "all" {
+		names = experiment.Names()
+	}
+	variants, err := c.chosen()
+	if err != nil {
+		return nil, err
+	}
+	var jobs []job
+	for _, d := range c.Deployments {
+		for _, name := range names {
+			for _, seed := range c.Seeds {
+				for _, v := range variants {
+					jobs = append(jobs, job{d, name, v, seed})
+				}
+			}
+		}
+	}
+	return jobs, nil
+}
+
+func (c *experimentCommand) chosen() ([]experiment.Variant, error) {
+	if len(c.Variants) == 0 {
+		return experiment.Variants(c.Alternatives), nil
+	}
+	var chosen []experiment.Variant
+	for _, name := range c.Variants {
+		found := false
+		for _, v := range experiment.Variants(true) {
+			if v.Name == name {
+				chosen, found = append(chosen, v), true
+			}
+		}
+		if !found {
+			return nil, trace.NotFound("no variant %q", name)
+		}
+	}
+	return chosen, nil
+}
+
+// plots draws one picture for each deployment, scenario and seed.
+func (c *experimentCommand) plots(results []experiment.Result) error {
+	if _, err := os.Stat(c.Out); err != nil {
+		return fmt.Errorf("folder for plots: %w", err)
+	}
+	for from := 0; from < len(results); {
+		to := from + 1
+		for to < len(results) && same(results[from], results[to]) {
+			to++
+		}
+		path, err := experiment.Plot(c.Out, results[from:to])
+		if err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintln(c.out, "plot:", path); err != nil {
+			return err
+		}
+		from = to
+	}
+	return nil
+}
+
+func same(a, b experiment.Result) bool {
+	return a.Deployment == b.Deployment && a.Scenario == b.Scenario && a.Seed == b.Seed
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -32,6 +32,7 @@
 		{"platform", "play the platform's object API", platformUsage, &platformCommand{}},
 		{"target", "play a target beside a node", targetUsage, &targetCommand{}},
 		{"load", "play callers", loadUsage, &loadCommand{out: out}},
+		{"experiment", "measure the decisions in virtual time", experimentUsage, &experimentCommand{out: out}},
 	}
 }
 
--- a/internal/fleet/part/part.go
+++ b/internal/fleet/part/part.go
@@ -242,13 +242,15 @@
 
 // partAsk is a draw from one part.
 type partAsk struct {
-	Part claim.Part `json:"part"`
+	Part  claim.Part `json:"part"`
+	Epoch uint64     `json:"epoch"`
 	bucket.Ask
 }
 
 // partGrant is the answer to a partAsk.
 type partGrant struct {
 	Part   claim.Part `json:"part"`
+	Epoch  uint64     `json:"epoch"`
 	Tokens int        `json:"tokens"`
 }
 
@@ -295,7 +297,8 @@
 		if !ok {
 			continue
 		}
-		ask := partAsk{Part: id, Ask: p.Ask(now, self, n, each)}
+		source := bucket.Source{Part: n, Epoch: holder.Epoch}
+		ask := partAsk{Part: id, Epoch: holder.Epoch, Ask: p.Ask(now, self, source, each)}
 		batches[holder.Address] = append(batches[holder.Address], ask)
 	}
 }
@@ -328,7 +331,7 @@
 			p.Dry(now)
 			continue
 		}
-		p.Add(asked, g.Part.Number, g.Tokens)
+		p.Add(asked, bucket.Source{Part: g.Part.Number, Epoch: g.Epoch}, g.Tokens)
 		close(p.filled)
 		p.filled = make(chan struct{})
 	}
@@ -358,11 +361,11 @@
 	for _, a := range asks {
 		h, ok := s.holds[a.Part]
 		org := c.Index.ByName(a.Part.Organisation)
-		if !ok || org == nil || a.Part.Number >= org.Parts {
+		if !ok || org == nil || a.Part.Number >= org.Parts || a.Epoch != h.record.Epoch {
 			continue
 		}
 		n := h.draw(now, termsOf(org), a.Ask)
-		answer.Grants = append(answer.Grants, partGrant{a.Part, n})
+		answer.Grants = append(answer.Grants, partGrant{a.Part, a.Epoch, n})
 	}
 	return answer
 }
--- a/internal/policy/bucket/purse.go
+++ b/internal/policy/bucket/purse.go
@@ -14,26 +14,32 @@
 	dryWait = 20 * time.Millisecond
 )
 
+// Source names where tokens were drawn: a part, under one of its holders.
+type Source struct {
+	Part  int
+	Epoch uint64
+}
+
 // Purse holds the tokens that one node has drawn for one organisation. It is
 // not safe for concurrent use.
 type Purse struct {
 	batches []batch
-	spent   map[int]int
-	unspent map[int]int
+	spent   map[Source]int
+	unspent map[Source]int
 	demand  float64
 	at      time.Time
 	dryTill time.Time
 }
 
 type batch struct {
-	part   int
+	source Source
 	tokens int
 	until  time.Time
 }
 
 // NewPurse returns an empty purse.
 func NewPurse() *Purse {
-	return &Purse{spent: map[int]int{}, unspent: map[int]int{}}
+	return &Purse{spent: map[Source]int{}, unspent: map[Source]int{}}
 }
 
 // Spend uses one token. It reports false when there is none.
@@ -44,7 +50,7 @@
 			continue
 		}
 		b.tokens--
-		p.spent[b.part]++
+		p.spent[b.source]++
 		return true
 	}
 	return false
@@ -83,27 +89,27 @@
 			held += b.tokens
 			kept = append(kept, b)
 		default:
-			p.unspent[b.part] += b.tokens
+			p.unspent[b.source] += b.tokens
 		}
 	}
 	p.batches = kept
 	return held
 }
 
-// Ask returns what to ask the holder of a part for. The counts in it are
-// handed over: they are not reported again.
-func (p *Purse) Ask(now time.Time, drawer string, part, want int) Ask {
+// Ask returns what to ask a source for. The counts in it are handed over: they
+// are not reported again, and not to another holder.
+func (p *Purse) Ask(now time.Time, drawer string, source Source, want int) Ask {
 	p.Held(now)
-	ask := Ask{Drawer: drawer, Want: want, Spent: p.spent[part], Unspent: p.unspent[part]}
-	delete(p.spent, part)
-	delete(p.unspent, part)
+	ask := Ask{Drawer: drawer, Want: want, Spent: p.spent[source], Unspent: p.unspent[source]}
+	delete(p.spent, source)
+	delete(p.unspent, source)
 	return ask
 }
 
 // Add puts drawn tokens into the purse. Asked is when the drawer began to ask.
-func (p *Purse) Add(asked time.Time, part, tokens int) {
+func (p *Purse) Add(asked time.Time, source Source, tokens int) {
 	if tokens > 0 {
-		p.batches = append(p.batches, batch{part, tokens, asked.Add(TokenLife)})
+		p.batches = append(p.batches, batch{source, tokens, asked.Add(TokenLife)})
 	}
 }
 
--- a/internal/policy/gate/gate.go
+++ b/internal/policy/gate/gate.go
@@ -3,7 +3,9 @@
 package gate
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
@@ -131,14 +133,28 @@
 	}
 }
 
-// SetSlots changes the number of announced slots.
+// SetSlots changes the number of announced slots. Without any, all waiting
+// requests are left out.
 func (g *Gate) SetSlots(now time.Time, slots int) Moves {
 	g.account(now)
 	g.limit = g.limit.WithCeiling(slots)
 	g.queue.Resize(max(minQueue, slots*queuePerSlot))
+	if slots == 0 {
+		return g.empty()
+	}
 	return g.fill(now)
 }
 
+// empty lets all waiting requests go elsewhere.
+func (g *Gate) empty() Moves {
+	var moves Moves
+	for _, i := range g.queue.Drain() {
+		delete(g.waiting, i.ID)
+		moves.Left = append(moves.Left, Left{i.ID, failure.NotReady})
+	}
+	return moves
+}
+
 // Offer asks for a slot. Moves tells which waiting requests had to go.
 func (g *Gate) Offer(now time.Time, r Request) (Verdict, Moves) {
 	g.account(now)
@@ -230,6 +246,18 @@
 	return moves
 }
 
+// Shed takes out all waiting requests that match.
+func (g *Gate) Shed(match func(r Request) bool) Moves {
+	var moves Moves
+	for _, id := range slices.Sorted(maps.Keys(g.waiting)) {
+		if match(g.waiting[id]) {
+			g.Cancel(id)
+			moves.Left = append(moves.Left, Left{id, failure.Overload})
+		}
+	}
+	return moves
+}
+
 // Done gives back the slot of a request.
 func (g *Gate) Done(now time.Time, id uint64, result Result) Moves {
 	r, ok := g.running[id]
--- /dev/null
+++ b/internal/policy/gate/gate_test.go
@@ -0,0 +1,166 @@
+package gate_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/gate"
+	"chestnutshed.example/chestnutshed/internal/policy/level"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(0, 0)
+
+func request(id uint64, i manifest.Importance, rank float64, deadline time.Time) gate.Request {
+	return gate.Request{ID: id, Route: "r", Score: priority.New(i, rank), Organisation: "a", Share: 1, Depth: 1, Deadline: deadline}
+}
+
+// With one slot, the second request waits until the first is done.
+func ExampleGate() {
+	g := gate.New(gate.Standard())
+	g.SetSlots(start, 1)
+	late := start.Add(time.Minute)
+	first, _ := g.Offer(start, request(1, manifest.Low, 1, late))
+	second, _ := g.Offer(start, request(2, manifest.Low, 1, late))
+	moves := g.Done(start, 1, gate.Answered)
+	fmt.Printf("%T %T %v\n", first, second, moves.Started)
+	// Output: gate.Start gate.Wait [2]
+}
+
+func TestOfferPastDeadline(t *testing.T) {
+	is := is.New(t)
+	g := gate.New(gate.Standard())
+	g.SetSlots(start, 1)
+	verdict, _ := g.Offer(start, request(1, manifest.Low, 1, start))
+	is.Equal(verdict, gate.Refuse{Reason: failure.Deadline})
+}
+
+func TestNoSlotsSendsWaitingElsewhere(t *testing.T) {
+	is := is.New(t)
+	g := gate.New(gate.Standard())
+	g.SetSlots(start, 1)
+	g.Offer(start, request(1, manifest.Low, 1, start.Add(time.Minute)))
+	g.Offer(start, request(2, manifest.Low, 1, start.Add(time.Minute)))
+	moves := g.SetSlots(start, 0)
+	is.Equal(moves.Left, []gate.Left{{ID: 2, Reason: failure.NotReady}})
+}
+
+func TestRefusalsLowerTheLimit(t *testing.T) {
+	is := is.New(t)
+	g := gate.New(gate.Standard())
+	g.SetSlots(start, 100)
+	for id := range uint64(50) {
+		g.Offer(start, request(id, manifest.Low, 1, start.Add(time.Minute)))
+	}
+	g.Done(start, 0, gate.Rejected)
+	is.Equal(g.State().Limit, 90)
+	g.Done(start, 1, gate.Rejected)
+	is.Equal(g.State().Limit, 90) // was running before the decrease
+}
+
+// The gate never runs more than its limit, never refuses a request for
+// overload while a less important one waits, and answers for each exactly once.
+func TestGateProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := gate.New(gate.Standard())
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		g.SetSlots(start, slots)
+		now := start
+		running, waiting := map[uint64]bool{}, map[uint64]manifest.Importance{}
+		refusedFor := func(importance manifest.Importance, reason failure.Reason) {
+			for id, other := range waiting {
+				if reason == failure.Overload && other < importance {
+					t.Fatalf("%v refused while request %d of %v waits", importance, id, other)
+				}
+			}
+		}
+		apply := func(moves gate.Moves) {
+			for _, id := range moves.Started {
+				if _, ok := waiting[id]; !ok {
+					t.Fatalf("request %d started, but did not wait", id)
+				}
+				delete(waiting, id)
+				running[id] = true
+			}
+			for _, left := range moves.Left {
+				importance, ok := waiting[left.ID]
+				if !ok {
+					t.Fatalf("request %d left, but did not wait", left.ID)
+				}
+				delete(waiting, left.ID)
+				refusedFor(importance, left.Reason)
+			}
+		}
+		for id := range uint64(200) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				if len(running) > 0 {
+					r := slices.Min(slices.Collect(maps.Keys(running)))
+					delete(running, r)
+					apply(g.Done(now, r, gate.Answered))
+				}
+			case 1:
+				g.Tick(now)
+			default:
+				importance := manifest.Importance(rapid.IntRange(0, 3).Draw(t, "importance"))
+				r := request(id, importance, rapid.Float64Range(0, 100).Draw(t, "rank"), now.Add(time.Second))
+				verdict, moves := g.Offer(now, r)
+				switch v := verdict.(type) {
+				case gate.Start:
+					running[id] = true
+				case gate.Wait:
+					waiting[id] = importance
+				case gate.Refuse:
+					apply(moves)
+					refusedFor(importance, v.Reason)
+					moves = gate.Moves{}
+				}
+				apply(moves)
+			}
+			if len(running) > slots {
+				t.Fatalf("%d run, %d slots", len(running), slots)
+			}
+		}
+	})
+}
+
+// Under steady overload the cut settles so that little more is let in than can
+// be done, and it opens within seconds once the overload ends.
+func TestCutFollowsOverload(t *testing.T) {
+	is := is.New(t)
+	g := gate.New(gate.Standard())
+	g.SetSlots(start, 10)
+	now, id := start, uint64(0)
+	var running []uint64
+	run := func(offered, done int) {
+		now = now.Add(level.Tick)
+		for range min(done, len(running)) {
+			moves := g.Done(now, running[0], gate.Answered)
+			running = append(running[1:], moves.Started...)
+		}
+		for range offered {
+			id++
+			r := request(id, manifest.Low, float64(id%97), now.Add(time.Second))
+			if verdict, _ := g.Offer(now, r); verdict == (gate.Start{}) {
+				running = append(running, id)
+			}
+		}
+		g.Tick(now)
+	}
+	for range 200 {
+		run(15, 5)
+	}
+	is.True(g.Cut() < priority.Open) // three times the capacity is offered
+	for range 60 {                   // three seconds
+		run(1, 5)
+	}
+	is.Equal(g.Cut(), priority.Open)
+}
--- /dev/null
+++ b/internal/policy/intake/intake.go
@@ -0,0 +1,124 @@
+// Package intake decides about calls that arrive at a target's node: it joins
+// the gate, the target's health and what nodes further down admit.
+package intake
+
+import (
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/gate"
+	"chestnutshed.example/chestnutshed/internal/policy/health"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
+)
+
+const (
+	// childLife is how long a route counts as calling another one.
+	childLife = 5 * time.Second
+	// downAfter is when a caller refused for a service further down is asked to
+	// come back.
+	downAfter = time.Second
+)
+
+// Child is a route that calls of another route make.
+type Child struct {
+	Service string
+	Route   string
+}
+
+// Down tells what the nodes that serve a child admit at most.
+type Down func(c Child) priority.Cut
+
+// Intake is the state of one target's node. It is not safe for concurrent use.
+type Intake struct {
+	gate     *gate.Gate
+	health   health.Health
+	children map[string]map[Child]time.Time
+}
+
+// New returns an intake without slots.
+func New(rules gate.Rules) *Intake {
+	return &Intake{gate: gate.New(rules), children: map[string]map[Child]time.Time{}}
+}
+
+// SetSlots changes the number of slots that the target announced.
+func (i *Intake) SetSlots(now time.Time, slots int) gate.Moves { return i.gate.SetSlots(now, slots) }
+
+// NewTarget forgets the health of the target before.
+func (i *Intake) NewTarget() { i.health = health.Health{} }
+
+// Called notes that calls of a route make calls of another.
+func (i *Intake) Called(now time.Time, route string, child Child) {
+	if i.children[route] == nil {
+		i.children[route] = map[Child]time.Time{}
+	}
+	i.children[route][child] = now
+}
+
+// Cut is the least that this node and the nodes further down admit for calls
+// of a route.
+func (i *Intake) Cut(now time.Time, route string, down Down) priority.Cut {
+	return min(i.gate.Cut(), i.downCut(now, route, down))
+}
+
+func (i *Intake) downCut(now time.Time, route string, down Down) priority.Cut {
+	least := priority.Open
+	for child, last := range i.children[route] {
+		if now.Sub(last) > childLife {
+			delete(i.children[route], child)
+			continue
+		}
+		least = min(least, down(child))
+	}
+	return least
+}
+
+// Offer asks for a slot. Forced is set when every target of the service seems
+// to fail, so that this one is tried all the same.
+func (i *Intake) Offer(now time.Time, r gate.Request, forced bool, down Down) (gate.Verdict, gate.Moves) {
+	var ok bool
+	if i.health, ok = i.health.WithProbe(now); !ok && !forced {
+		return gate.Refuse{Reason: failure.NotReady}, gate.Moves{}
+	}
+	if cut := i.downCut(now, r.Route, down); !cut.Admits(r.Score, r.Depth) {
+		moves := i.gate.Shed(func(w gate.Request) bool {
+			return !i.downCut(now, w.Route, down).Admits(w.Score, w.Depth)
+		})
+		return gate.Refuse{Reason: failure.Overload, After: downAfter}, moves
+	}
+	return i.gate.Offer(now, r)
+}
+
+// Done gives back the slot of a request. Failed tells whether the target
+// failed it; changed reports whether the judgement of the target's health is
+// another now.
+func (i *Intake) Done(now time.Time, id uint64, result gate.Result, failed bool) (moves gate.Moves, changed bool) {
+	before := i.health.Failing()
+	if result != gate.Aborted || failed {
+		i.health = i.health.WithAnswer(failed)
+	}
+	return i.gate.Done(now, id, result), before != i.health.Failing()
+}
+
+// Cancel takes a waiting request out. It reports whether it was waiting.
+func (i *Intake) Cancel(id uint64) bool { return i.gate.Cancel(id) }
+
+// Tick moves the cut; call it every level.Tick.
+func (i *Intake) Tick(now time.Time) { i.gate.Tick(now) }
+
+// Load is running plus waiting requests over the limit.
+func (i *Intake) Load() float64 { return i.gate.Load() }
+
+// Failing reports whether the target fails most requests.
+func (i *Intake) Failing() bool { return i.health.Failing() }
+
+// State is a snapshot for the dump.
+type State struct {
+	Gate     gate.State `json:"gate"`
+	Failures float64    `json:"failure_ratio"`
+	Failing  bool       `json:"failing"`
+}
+
+// State returns a snapshot.
+func (i *Intake) State() State {
+	return State{Gate: i.gate.State(), Failures: i.health.Ratio(), Failing: i.health.Failing()}
+}
--- a/internal/policy/level/level.go
+++ b/internal/policy/level/level.go
@@ -29,6 +29,9 @@
 	// minRise and maxRise bound one rise of the cut, in doublings of the rank.
 	minRise = 0.02
 	maxRise = 1
+	// fallStep bounds one fall of the cut, in doublings of the rank, when the
+	// queue is at its aim; the bound grows with the square of the queue.
+	fallStep = 0.3
 	// topFade is how fast the top of offered scores is forgotten, in scores a
 	// second.
 	topFade = 0.01
@@ -92,7 +95,7 @@
 }
 
 // queueAim is the number of waiting items that keeps all slots in use.
-func queueAim(slots int) int { return max(2, slots/4) }
+func queueAim(slots int) int { return max(4, slots/2) }
 
 func (l *Level) learnOffered(elapsed time.Duration, keep float64) {
 	for i := range l.offered {
@@ -126,7 +129,9 @@
 	target := l.capacity - float64(load.Waiting-aim)/drain.Seconds()
 	target = max(target, 0.2*l.capacity, 0.5)
 	cut := l.quantile(target)
-	l.cut = min(cut, l.cut)
+	excess := float64(load.Waiting) / float64(aim)
+	cut = max(cut, l.cut.WithStep(-fallStep*excess*excess))
+	l.cut = min(l.cut, cut)
 }
 
 // rise raises the cut by the share of idle slots.
@@ -135,7 +140,7 @@
 		return
 	}
 	idle := fullUse - load.Busy/float64(load.Slots)
-	if idle <= 0 {
+	if idle <= 0 && load.Waiting > queueAim(load.Slots)/2 {
 		return
 	}
 	step := max(minRise, min(maxRise, 2*idle*maxRise))
--- /dev/null
+++ b/internal/policy/queue/queue_test.go
@@ -0,0 +1,109 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
+	"chestnutshed.example/chestnutshed/internal/policy/queue"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(0, 0)
+
+// A more important arrival displaces the least important waiting one.
+func ExampleQueue_Push() {
+	q := queue.New(queue.ByRank{}, 1)
+	low := queue.Item{ID: 1, Score: priority.New(manifest.Low, 1), Deadline: start.Add(time.Second)}
+	high := queue.Item{ID: 2, Score: priority.New(manifest.High, 1), Deadline: start.Add(time.Second)}
+	q.Push(low)
+	displaced, full := q.Push(high)
+	fmt.Println(displaced.ID, full)
+	// Output: 1 true
+}
+
+func TestOrder(t *testing.T) {
+	item := func(id uint64, i manifest.Importance, rank float64, org string, depth int) queue.Item {
+		return queue.Item{ID: id, Score: priority.New(i, rank), Organisation: org, Share: 1, Depth: depth, Deadline: start.Add(time.Second)}
+	}
+	tests := []struct {
+		name  string
+		order queue.Order
+		items []queue.Item
+		want  []uint64
+	}{
+		{"importance before rank", queue.ByRank{}, []queue.Item{item(1, manifest.Low, 0, "a", 1), item(2, manifest.High, 9, "a", 1)}, []uint64{2, 1}},
+		{"rank within an importance", queue.ByRank{}, []queue.Item{item(1, manifest.Low, 5, "a", 1), item(2, manifest.Low, 1, "b", 1)}, []uint64{2, 1}},
+		{"inner calls before roots of the same score", queue.ByRank{}, []queue.Item{item(1, manifest.Low, 1, "a", 1), item(2, manifest.Low, 1, "a", 3)}, []uint64{2, 1}},
+		{"organisations in turn", queue.ByShare{}, []queue.Item{item(1, manifest.Low, 0, "a", 1), item(2, manifest.Low, 0, "a", 1), item(3, manifest.Low, 0, "b", 1)}, []uint64{1, 3, 2}},
+		{"arrival", queue.ByArrival{}, []queue.Item{item(1, manifest.Low, 0, "a", 1), item(2, manifest.High, 0, "a", 1)}, []uint64{1, 2}},
+		{"newest", queue.ByNewest{}, []queue.Item{item(1, manifest.High, 0, "a", 1), item(2, manifest.Low, 0, "a", 1)}, []uint64{2, 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			q := queue.New(tt.order, 10)
+			for _, i := range tt.items {
+				q.Push(i)
+			}
+			var got []uint64
+			for q.Len() > 0 {
+				i, _, _ := q.Pop(start)
+				got = append(got, i.ID)
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+// Whatever the order of events, nothing leaves a full queue before a less
+// important item does, and no item is lost or handed out twice.
+func TestDisplacementProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New(queue.ByRank{}, rapid.IntRange(1, 8).Draw(t, "size"))
+		waiting := map[uint64]queue.Item{}
+		gone := map[uint64]bool{}
+		leave := func(id uint64) {
+			if gone[id] {
+				t.Fatalf("item %d left twice", id)
+			}
+			gone[id] = true
+			delete(waiting, id)
+		}
+		for id := uint64(1); id <= 60; id++ {
+			if rapid.Bool().Draw(t, "pop") {
+				if first, ok, _ := q.Pop(start); ok {
+					for _, other := range waiting {
+						if other.Score.Importance() > first.Score.Importance() {
+							t.Fatalf("%v went before %v", first, other)
+						}
+					}
+					leave(first.ID)
+				}
+				continue
+			}
+			i := queue.Item{
+				ID:       id,
+				Score:    priority.New(manifest.Importance(rapid.IntRange(0, 3).Draw(t, "importance")), rapid.Float64Range(0, 50).Draw(t, "rank")),
+				Deadline: start.Add(time.Minute),
+			}
+			waiting[id] = i
+			displaced, full := q.Push(i)
+			if !full {
+				continue
+			}
+			for _, other := range waiting {
+				if other.ID != displaced.ID && other.Score.Importance() < displaced.Score.Importance() {
+					t.Fatalf("%v was displaced while %v waits", displaced, other)
+				}
+			}
+			leave(displaced.ID)
+		}
+		if q.Len() != len(waiting) {
+			t.Fatalf("%d items wait, want %d", q.Len(), len(waiting))
+		}
+	})
+}
--- /dev/null
+++ b/internal/policy/resend/course.go
@@ -0,0 +1,125 @@
+package resend
+
+import (
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/budget"
+	"chestnutshed.example/chestnutshed/internal/policy/choice"
+)
+
+// Course is one call on its way: where it was sent, and what it may still
+// spend on being sent again. It is not safe for concurrent use.
+type Course struct {
+	call       choice.Call
+	idempotent bool
+	extra      *budget.Call
+	sends      int
+	last       Result
+	refusal    *failure.Refusal
+	// ran is the most that any send so far may have done.
+	ran failure.Ran
+}
+
+// NewCourse returns the course of a call that holds extra sends.
+func NewCourse(call choice.Call, idempotent bool, extra int) *Course {
+	return &Course{call: call, idempotent: idempotent, extra: budget.NewCall(extra), ran: failure.RanNo}
+}
+
+// Step is what to do next: Send or Stop.
+type Step interface{ step() }
+
+// Send means to send the call to the pick, with extra sends lent to it.
+type Send struct {
+	Pick choice.Pick
+	Lent int
+}
+
+// Stop means that the call has ended; Last tells how.
+type Stop struct{}
+
+func (Send) step() {}
+func (Stop) step() {}
+
+// Next decides what to do at now. All are the nodes that serve the call;
+// permit is asked before an extra send.
+func (c *Course) Next(now time.Time, all []choice.Candidate, chooser *choice.Chooser, ratio *budget.Ratio, permit func() bool) Step {
+	if c.sends > 0 && !c.Again() {
+		return Stop{}
+	}
+	pick, refusal := chooser.Choose(now, all, c.call)
+	if refusal != nil {
+		c.refusal = refusal
+		return Stop{}
+	}
+	if c.sends == 0 {
+		ratio.First()
+	} else if c.extra.Left() == 0 || !ratio.Extra() || !permit() || !c.extra.Spend() {
+		return Stop{}
+	}
+	c.sends++
+	c.call.Tried = append(c.call.Tried, pick.Candidate.ID)
+	chooser.Sent(pick.Candidate.ID)
+	return Send{Pick: pick, Lent: c.extra.Lend()}
+}
+
+// Returned notes what came of the latest send. Unused is how many of the lent
+// extra sends came back; a lost answer brings none.
+func (c *Course) Returned(result Result, lent, unused int) {
+	c.extra.Return(unused, lent)
+	c.last = result
+	c.ran = most(c.ran, ranOf(result))
+}
+
+// ranOf is what a send may have done.
+func ranOf(result Result) failure.Ran {
+	switch r := result.(type) {
+	case Whole:
+		return failure.RanYes
+	case Refused:
+		return r.Refusal.Ran
+	case Gone:
+		if r.NotSent {
+			return failure.RanNo
+		}
+	}
+	return failure.RanUnknown
+}
+
+func most(a, b failure.Ran) failure.Ran {
+	switch {
+	case a == failure.RanYes || b == failure.RanYes:
+		return failure.RanYes
+	case a == failure.RanUnknown || b == failure.RanUnknown:
+		return failure.RanUnknown
+	}
+	return failure.RanNo
+}
+
+// Again reports whether what came of the latest send allows another.
+func (c *Course) Again() bool { return Again(c.last, c.idempotent) }
+
+// Sends is the number of sends so far.
+func (c *Course) Sends() int { return c.sends }
+
+// Unused is the number of extra sends left.
+func (c *Course) Unused() int { return c.extra.Left() }
+
+// Last is what came of the call: the answer, or the refusal of the latest
+// send. Its Ran covers the earlier sends too. A call that was never sent has
+// the refusal to choose a node.
+func (c *Course) Last() Result {
+	switch last := c.last.(type) {
+	case nil:
+		if c.refusal == nil {
+			return Refused{failure.New(failure.Deadline, "the deadline passed before the call was sent")}
+		}
+		return Refused{c.refusal}
+	case Refused:
+		return Refused{last.Refusal.WithRan(c.ran)}
+	case Gone:
+		r := failure.New(failure.Lost, "no answer came from the node that serves the target")
+		return Refused{r.WithRan(c.ran)}
+	}
+	return c.last
+}
--- /dev/null
+++ b/internal/policy/resend/course_test.go
@@ -0,0 +1,113 @@
+package resend_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/budget"
+	"chestnutshed.example/chestnutshed/internal/policy/choice"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
+	"chestnutshed.example/chestnutshed/internal/policy/resend"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(0, 0)
+
+func TestAgain(t *testing.T) {
+	refused := func(reason failure.Reason, ran failure.Ran) resend.Result {
+		return resend.Refused{Refusal: failure.New(reason, "").WithRan(ran)}
+	}
+	tests := []struct {
+		name       string
+		result     resend.Result
+		idempotent bool
+		want       bool
+	}{
+		{"whole answer", resend.Whole{Status: 200}, true, false},
+		{"the target failed", resend.Whole{Status: 500}, true, true},
+		{"the target failed a payment", resend.Whole{Status: 500}, false, false},
+		{"an inner call failed", resend.Whole{Status: 502, Inner: true}, true, false},
+		{"the request is wrong", resend.Whole{Status: 404}, true, false},
+		{"no connection", resend.Gone{NotSent: true}, false, true},
+		{"no answer", resend.Gone{}, true, true},
+		{"no answer to a payment", resend.Gone{}, false, false},
+		{"overload", refused(failure.Overload, failure.RanNo), false, true},
+		{"leaving", refused(failure.Leaving, failure.RanNo), false, true},
+		{"lost behind the node", refused(failure.Lost, failure.RanUnknown), true, true},
+		{"payment lost behind the node", refused(failure.Lost, failure.RanUnknown), false, false},
+		{"too late", refused(failure.Deadline, failure.RanNo), true, false},
+		{"over the rate", refused(failure.RateExceeded, failure.RanNo), true, false},
+		{"poison", refused(failure.Poison, failure.RanNo), true, false},
+		{"no extra sends further down", refused(failure.Retries, failure.RanNo), true, false},
+	}
+	for _, tt := range tests {
+		if got := resend.Again(tt.result, tt.idempotent); got != tt.want {
+			t.Errorf("%s: got %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
+
+// A call is never sent more often than its budget allows, one that is not
+// idempotent never after a send that may have run, and a refusal says "not
+// run" only when no send can have run.
+func TestCourseProperty(t *testing.T) {
+	results := []resend.Result{
+		resend.Whole{Status: 500},
+		resend.Gone{},
+		resend.Gone{NotSent: true},
+		resend.Refused{Refusal: failure.New(failure.Overload, "")},
+		resend.Refused{Refusal: failure.New(failure.NotReady, "")},
+		resend.Refused{Refusal: failure.New(failure.Lost, "").WithRan(failure.RanUnknown)},
+	}
+	var all []choice.Candidate
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		all = append(all, choice.Candidate{ID: id, Slots: 10})
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		extra := rapid.IntRange(0, 4).Draw(t, "extra")
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		chooser := choice.New("z", rand.New(rand.NewPCG(1, 1)))
+		course := resend.NewCourse(choice.Call{Score: priority.New(manifest.Low, 1), Depth: 1}, idempotent, extra)
+		ratio := budget.NewRatio(1)
+		mayHaveRun := false
+		for {
+			step, ok := course.Next(start, all, chooser, ratio, func() bool { return true }).(resend.Send)
+			if !ok {
+				break
+			}
+			if mayHaveRun && !idempotent {
+				t.Fatal("sent again after a send that may have run")
+			}
+			result := rapid.SampledFrom(results).Draw(t, "result")
+			switch r := result.(type) {
+			case resend.Whole:
+				mayHaveRun = true
+			case resend.Gone:
+				mayHaveRun = mayHaveRun || !r.NotSent
+			case resend.Refused:
+				mayHaveRun = mayHaveRun || r.Refusal.Ran != failure.RanNo
+			}
+			course.Returned(result, step.Lent, step.Lent)
+		}
+		if course.Sends() > extra+1 {
+			t.Fatalf("%d sends with %d extra", course.Sends(), extra)
+		}
+		if r, ok := course.Last().(resend.Refused); ok && mayHaveRun && r.Refusal.Ran == failure.RanNo {
+			t.Fatalf("the refusal says not run: %v", r.Refusal)
+		}
+	})
+}
+
+func TestNeverSent(t *testing.T) {
+	is := is.New(t)
+	course := resend.NewCourse(choice.Call{}, true, 3)
+	step := course.Next(start, nil, choice.New("z", rand.New(rand.NewPCG(1, 1))), budget.NewRatio(1), nil)
+	is.Equal(step, resend.Stop{})
+	r := course.Last().(resend.Refused).Refusal
+	is.Equal(r.Reason, failure.NoTarget)
+	is.Equal(r.Ran, failure.RanNo)
+}
--- a/internal/policy/resend/resend.go
+++ b/internal/policy/resend/resend.go
@@ -10,8 +10,12 @@
 // Result is what came of one send: Whole, Refused or Gone.
 type Result interface{ result() }
 
-// Whole is a target's whole answer.
-type Whole struct{ Status int }
+// Whole is a target's whole answer. Inner is set when the target failed since
+// a call of its own was refused or lost: that was sent again already.
+type Whole struct {
+	Status int
+	Inner  bool
+}
 
 // Refused is a node's refusal.
 type Refused struct{ Refusal *failure.Refusal }
@@ -29,7 +33,7 @@
 func Again(result Result, idempotent bool) bool {
 	switch r := result.(type) {
 	case Whole:
-		return idempotent && failedStatus(r.Status)
+		return idempotent && !r.Inner && failedStatus(r.Status)
 	case Gone:
 		return r.NotSent || idempotent
 	case Refused:
--- a/internal/traffic/entry/inner.go
+++ b/internal/traffic/entry/inner.go
@@ -6,6 +6,8 @@
 
 	"chestnutshed.example/chestnutshed/internal/config/manifest"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/intake"
+	"chestnutshed.example/chestnutshed/internal/policy/resend"
 	"chestnutshed.example/chestnutshed/internal/traffic/sender"
 	"chestnutshed.example/chestnutshed/internal/traffic/serve"
 	"chestnutshed.example/chestnutshed/internal/traffic/wire"
@@ -42,7 +44,7 @@
 	if refusal != nil {
 		return refused(refusal)
 	}
-	s.Serve.Called(time.Now(), parent.Call.Route, serve.Child{Service: route.Service, Route: route.Name})
+	s.Serve.Called(time.Now(), parent.Call.Route, intake.Child{Service: route.Service, Route: route.Name})
 	return s.runInner(req, parent, route, body)
 }
 
@@ -62,7 +64,8 @@
 	result := s.Sender.Send(req.Context(), m)
 	parent.Return(result.Unused, lent)
 	notRun := result.Refusal != nil && result.Refusal.Ran == failure.RanNo
-	parent.End(inner, result, notRun)
+	failed := result.Refusal != nil || resend.Failed(result.Status)
+	parent.End(inner, result, notRun, failed)
 	return result
 }
 
--- a/internal/traffic/sender/sender.go
+++ b/internal/traffic/sender/sender.go
@@ -183,95 +183,71 @@
 func (s *Service) Send(ctx context.Context, m Message) Result {
 	ctx, cancel := context.WithDeadline(ctx, m.Deadline)
 	defer cancel()
-	extra := budget.NewCall(m.Call.Extra)
-	var tried []string
-	var last attempt
-	for sends := 0; ; sends++ {
-		pick, refusal := s.choose(m, tried)
-		if refusal != nil {
-			return s.finish(last, refusal, extra, sends)
-		}
-		if sends == 0 {
-			s.first()
-		} else if !s.allowed(ctx, m, extra) {
-			return s.finish(last, nil, extra, sends)
-		}
-		last = s.try(ctx, m, pick, extra)
-		tried = append(tried, pick.Candidate.ID)
-		if ctx.Err() != nil || !resend.Again(last.result, m.Call.Idempotent) {
-			return s.finish(last, nil, extra, sends+1)
-		}
-	}
-}
-
-func (s *Service) choose(m Message, tried []string) (choice.Pick, *failure.Refusal) {
-	all := s.Candidates(m.Call.Service)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.chooser.Choose(time.Now(), all, choice.Call{
+	course := resend.NewCourse(choice.Call{
 		Route: m.Call.Route,
 		Score: m.Call.Score,
 		Depth: m.Call.Depth,
-		Tried: tried,
-	})
+	}, m.Call.Idempotent, m.Call.Extra)
+	var reply peers.Reply
+	for ctx.Err() == nil {
+		send, ok := s.next(ctx, course, m).(resend.Send)
+		if !ok {
+			break
+		}
+		reply = s.try(ctx, m, send, course)
+	}
+	return resultOf(course, reply)
 }
 
-// first counts a first send, which earns the node part of an extra one.
-func (s *Service) first() {
+// next asks the course what to do. An extra send must be permitted first,
+// which may wait.
+func (s *Service) next(ctx context.Context, course *resend.Course, m Message) resend.Step {
+	permit := func() bool { return true }
+	if course.Sends() > 0 && course.Unused() > 0 && m.Permit != nil && course.Again() {
+		allowed := m.Permit(ctx)
+		permit = func() bool { return allowed }
+	}
+	all := s.Candidates(m.Call.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ratio.First()
-}
-
-// allowed asks all bounds on extra sends: the root's budget, the node's ratio
-// and the permit.
-func (s *Service) allowed(ctx context.Context, m Message, extra *budget.Call) bool {
-	s.mu.Lock()
 	if c := s.config.Get(); c != nil {
 		s.ratio.SetRatio(c.Index.Manifest().Retry.Ratio)
 	}
-	ok := extra.Left() > 0 && s.ratio.Extra()
-	s.mu.Unlock()
-	if !ok || (m.Permit != nil && !m.Permit(ctx)) {
-		return false
-	}
-	s.extras.Inc()
-	return extra.Spend()
-}
-
-// attempt is one send and what came of it.
-type attempt struct {
-	reply  peers.Reply
-	result resend.Result
+	return course.Next(time.Now(), all, s.chooser, s.ratio, permit)
 }
 
-func (s *Service) try(ctx context.Context, m Message, pick choice.Pick, extra *budget.Call) attempt {
+// try makes one send and notes what came of it.
+func (s *Service) try(ctx context.Context, m Message, send resend.Send, course *resend.Course) peers.Reply {
+	to := send.Pick.Candidate
 	call := m.Call
 	call.ID = uuid.NewString()
-	call.Forced = pick.Forced
-	call.Extra = extra.Lend()
+	call.Forced = send.Pick.Forced
+	call.Extra = send.Lent
 	call.Left = time.Until(m.Deadline)
-	if call.Left <= 0 {
-		extra.Return(call.Extra, call.Extra)
-		return attempt{result: resend.Refused{Refusal: failure.New(failure.Deadline, "the deadline passed before the call was sent")}}
-	}
-	s.mu.Lock()
-	s.chooser.Sent(pick.Candidate.ID)
-	s.mu.Unlock()
 	s.sends.Inc()
-	reply, err := s.deliver(ctx, pick.Candidate, call, m)
+	if course.Sends() > 1 {
+		s.extras.Inc()
+	}
+	reply, err := s.deliver(ctx, to, call, m)
 	if err != nil {
-		return s.lost(ctx, pick.Candidate, call, err, extra)
+		s.lost(ctx, to, call, err, course)
+		return reply
 	}
-	extra.Return(reply.Outcome.Unused, call.Extra)
-	s.report(pick.Candidate.ID, call, reply.Outcome)
+	s.mu.Lock()
+	s.chooser.Answered(time.Now(), to.ID, choice.Report{Route: call.Route, Load: reply.Outcome.Load, Cut: reply.Outcome.Cut})
+	s.mu.Unlock()
+	var result resend.Result = resend.Whole{Status: reply.Outcome.Status, Inner: reply.Outcome.Inner}
 	if r := reply.Outcome.Refusal; r != nil {
-		return attempt{reply: reply, result: resend.Refused{Refusal: r.WithAfter(reply.Outcome.After)}}
+		result = resend.Refused{Refusal: r.WithAfter(reply.Outcome.After)}
 	}
-	return attempt{reply: reply, result: resend.Whole{Status: reply.Outcome.Status}}
+	course.Returned(result, send.Lent, reply.Outcome.Unused)
+	return reply
 }
 
 func (s *Service) deliver(ctx context.Context, to choice.Candidate, call wire.Call, m Message) (peers.Reply, error) {
+	if call.Left <= 0 {
+		return peers.Reply{}, fmt.Errorf("%w: %w", peers.ErrNotSent, context.DeadlineExceeded)
+	}
 	if to.ID == s.self {
 		return s.local.Call(ctx, call, m.Header, m.Body), nil
 	}
@@ -282,19 +258,15 @@
 	return reply, nil
 }
 
-func (s *Service) report(id string, call wire.Call, o wire.Outcome) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.chooser.Answered(time.Now(), id, choice.Report{Route: call.Route, Load: o.Load, Cut: o.Cut})
-}
-
 // lost notes a send without an answer. What it was lent is used, unless
 // nothing was sent.
-func (s *Service) lost(ctx context.Context, to choice.Candidate, call wire.Call, err error, extra *budget.Call) attempt {
+func (s *Service) lost(ctx context.Context, to choice.Candidate, call wire.Call, err error, course *resend.Course) {
 	notSent := errors.Is(err, peers.ErrNotSent)
+	unused := 0
 	if notSent {
-		extra.Return(call.Extra, call.Extra)
+		unused = call.Extra
 	}
+	course.Returned(resend.Gone{NotSent: notSent}, call.Extra, unused)
 	s.mu.Lock()
 	if ctx.Err() != nil && !errors.Is(err, peers.ErrSilent) {
 		s.chooser.Withdrawn(to.ID)
@@ -306,24 +278,16 @@
 		s.gossip.Refused(to.ID)
 	}
 	s.log.WithField("root", call.Root).WithField("peer", to.Address).Debug("call lost: ", err)
-	return attempt{result: resend.Gone{NotSent: notSent}}
 }
 
-// finish turns the last attempt, or the refusal to make one, into the result.
-func (s *Service) finish(last attempt, refusal *failure.Refusal, extra *budget.Call, sends int) Result {
-	r := Result{Unused: extra.Left(), Sends: sends}
-	switch result := last.result.(type) {
-	case nil:
-		r.Refusal = refusal
+// resultOf turns the end of a course into the result of the call.
+func resultOf(course *resend.Course, reply peers.Reply) Result {
+	r := Result{Unused: course.Unused(), Sends: course.Sends()}
+	switch last := course.Last().(type) {
 	case resend.Whole:
-		r.Status, r.Header, r.Body = last.reply.Outcome.Status, last.reply.Header, last.reply.Body
+		r.Status, r.Header, r.Body = reply.Outcome.Status, reply.Header, reply.Body
 	case resend.Refused:
-		r.Refusal = result.Refusal
-	case resend.Gone:
-		r.Refusal = failure.New(failure.Lost, "no answer came from the node that serves the target")
-		if !result.NotSent {
-			r.Refusal = r.Refusal.WithRan(failure.RanUnknown)
-		}
+		r.Refusal = last.Refusal
 	}
 	return r
 }
--- a/internal/traffic/serve/serve.go
+++ b/internal/traffic/serve/serve.go
@@ -17,7 +17,7 @@
 	"chestnutshed.example/chestnutshed/internal/fleet/gossip"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/policy/gate"
-	"chestnutshed.example/chestnutshed/internal/policy/health"
+	"chestnutshed.example/chestnutshed/internal/policy/intake"
 	"chestnutshed.example/chestnutshed/internal/policy/level"
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
@@ -34,20 +34,11 @@
 // maxRequest bounds a request between nodes, in bytes.
 const maxRequest = 64 << 20
 
-// depLife is how long a route counts as calling another one.
-const depLife = 5 * time.Second
-
 // Downstream tells what the nodes of a service admit for a route.
 type Downstream interface {
 	Cut(now time.Time, service, route string) priority.Cut
 }
 
-// Child is a route that calls of another route make.
-type Child struct {
-	Service string
-	Route   string
-}
-
 // Service runs calls on the own target.
 type Service struct {
 	gossip     *gossip.Service
@@ -59,14 +50,12 @@
 	suspect chan struct{}
 
 	mu       sync.Mutex
-	gate     *gate.Gate
-	health   health.Health
+	intake   *intake.Intake
 	target   *client
 	renewed  time.Time
 	nextID   uint64
 	waiting  map[uint64]chan *failure.Refusal
 	running  map[uint64]poison.Print
-	children map[string]map[Child]time.Time
 	draining bool
 
 	whole   *metrics.Counter
@@ -84,10 +73,9 @@
 		log:        log,
 		tokens:     newTokens(),
 		suspect:    make(chan struct{}, 1),
-		gate:       gate.New(gate.Standard()),
+		intake:     intake.New(gate.Standard()),
 		waiting:    map[uint64]chan *failure.Refusal{},
 		running:    map[uint64]poison.Print{},
-		children:   map[string]map[Child]time.Time{},
 		whole:      set.NewCounter("chestnutshed_target_answers_total"),
 		failed:     set.NewCounter("chestnutshed_target_failures_total"),
 		latency:    set.NewSummary("chestnutshed_target_seconds"),
@@ -117,7 +105,7 @@
 			return nil
 		case now := <-ticker.C:
 			s.mu.Lock()
-			s.gate.Tick(now)
+			s.intake.Tick(now)
 			lapsed := s.target != nil && now.Sub(s.renewed) > announceLife
 			s.mu.Unlock()
 			if lapsed {
@@ -138,10 +126,10 @@
 	changed := s.target == nil || s.target.announcement != a
 	if changed {
 		if s.target == nil || s.target.announcement.Instance != a.Instance {
-			s.health = health.Health{}
+			s.intake.NewTarget()
 		}
 		s.target = newClient(a)
-		s.apply(s.gate.SetSlots(now, a.Slots))
+		s.apply(s.intake.SetSlots(now, a.Slots))
 	}
 	s.mu.Unlock()
 	if changed {
@@ -158,7 +146,7 @@
 	if s.target != nil {
 		a = s.target.announcement
 	}
-	failing, draining := s.health.Failing(), s.draining
+	failing, draining := s.intake.Failing(), s.draining
 	s.mu.Unlock()
 	s.gossip.Update(func(r member.Record) member.Record {
 		r.Service, r.Slots, r.Instance = a.Service, a.Slots, a.Instance
@@ -177,7 +165,7 @@
 	}
 	name := s.target.String()
 	s.target = nil
-	s.apply(s.gate.SetSlots(time.Now(), 0))
+	s.apply(s.intake.SetSlots(time.Now(), 0))
 	s.mu.Unlock()
 	s.log.WithField("target", name).Warn("target is gone: ", why)
 	s.publish()
@@ -208,33 +196,15 @@
 func (s *Service) Parent(token string) (*Parent, bool) { return s.tokens.get(token) }
 
 // Called notes that calls of one route make calls of another.
-func (s *Service) Called(now time.Time, route string, child Child) {
+func (s *Service) Called(now time.Time, route string, child intake.Child) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.children[route] == nil {
-		s.children[route] = map[Child]time.Time{}
-	}
-	s.children[route][child] = now
+	s.intake.Called(now, route, child)
 }
 
-// cut is the least that this node and the nodes further down admit for calls
-// of a route.
-func (s *Service) cut(now time.Time, route string) priority.Cut {
-	s.mu.Lock()
-	least := s.gate.Cut()
-	var live []Child
-	for child, last := range s.children[route] {
-		if now.Sub(last) > depLife {
-			delete(s.children[route], child)
-			continue
-		}
-		live = append(live, child)
-	}
-	s.mu.Unlock()
-	for _, child := range live {
-		least = min(least, s.downstream.Cut(now, child.Service, child.Route))
-	}
-	return least
+// down tells what nodes further down admit, as this node has heard.
+func (s *Service) down(now time.Time) intake.Down {
+	return func(c intake.Child) priority.Cut { return s.downstream.Cut(now, c.Service, c.Route) }
 }
 
 // serveCall runs a call from another node.
@@ -276,11 +246,11 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	o := wire.Outcome{ID: call.ID, Unused: call.Extra}
-	a, refusal := s.run(ctx, call, deadline, header, body, &o.Unused)
+	a, refusal := s.run(ctx, call, deadline, header, body, &o)
 	now := time.Now()
-	o.Cut = s.cut(now, call.Route)
 	s.mu.Lock()
-	o.Load, o.Failing, o.Leaving = s.gate.Load(), s.health.Failing(), s.draining
+	o.Cut = s.intake.Cut(now, call.Route, s.down(now))
+	o.Load, o.Failing, o.Leaving = s.intake.Load(), s.intake.Failing(), s.draining
 	s.mu.Unlock()
 	if refusal != nil {
 		o.Refusal, o.After = refusal, refusal.After
@@ -291,7 +261,7 @@
 	return peers.Reply{Outcome: o, Header: wire.PassOn(a.header), Body: a.body}
 }
 
-func (s *Service) run(ctx context.Context, call wire.Call, deadline time.Time, header http.Header, body []byte, unused *int) (answer, *failure.Refusal) {
+func (s *Service) run(ctx context.Context, call wire.Call, deadline time.Time, header http.Header, body []byte, o *wire.Outcome) (answer, *failure.Refusal) {
 	if s.poison.Banned(time.Now(), call.Print) {
 		return answer{}, failure.New(failure.Poison, "the request has crashed targets")
 	}
@@ -303,7 +273,7 @@
 			return answer{}, failure.New(failure.Deadline, "the request waited for another suspect of a crash")
 		}
 	}
-	if refusal := s.refuseEarly(call); refusal != nil {
+	if refusal := s.refuseAbsent(call); refusal != nil {
 		return answer{}, refusal
 	}
 	id, target, refusal := s.admit(ctx, call, deadline)
@@ -311,13 +281,11 @@
 		return answer{}, refusal
 	}
 	call.Left = time.Until(deadline)
-	return s.onTarget(ctx, id, target, call, deadline, header, body, unused)
+	return s.onTarget(ctx, id, target, call, deadline, header, body, o)
 }
 
-// refuseEarly refuses what could only be lost here or further down.
-func (s *Service) refuseEarly(call wire.Call) *failure.Refusal {
-	now := time.Now()
-	cut := s.cut(now, call.Route)
+// refuseAbsent refuses calls while there is no target to run them.
+func (s *Service) refuseAbsent(call wire.Call) *failure.Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -325,12 +293,6 @@
 		return failure.New(failure.Leaving, "the target is leaving")
 	case s.target == nil || s.target.announcement.Service != call.Service:
 		return failure.New(failure.NotReady, "the node has no target of the service")
-	case cut < s.gate.Cut() && !cut.Admits(call.Score, call.Depth):
-		return failure.New(failure.Overload, "a service further down is overloaded").WithAfter(time.Second)
-	}
-	var ok bool
-	if s.health, ok = s.health.WithProbe(now); !ok && !call.Forced {
-		return failure.New(failure.NotReady, "the target fails most requests")
 	}
 	return nil
 }
@@ -340,7 +302,8 @@
 	s.mu.Lock()
 	s.nextID++
 	id := s.nextID
-	verdict, moves := s.gate.Offer(time.Now(), gate.Request{
+	now := time.Now()
+	verdict, moves := s.intake.Offer(now, gate.Request{
 		ID:           id,
 		Route:        call.Route,
 		Score:        call.Score,
@@ -348,7 +311,7 @@
 		Share:        call.Share,
 		Depth:        call.Depth,
 		Deadline:     deadline,
-	})
+	}, call.Forced, s.down(now))
 	started := make(chan *failure.Refusal, 1)
 	switch v := verdict.(type) {
 	case gate.Refuse:
@@ -380,7 +343,7 @@
 func (s *Service) withdraw(id uint64, started chan *failure.Refusal) *failure.Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.gate.Cancel(id) {
+	if s.intake.Cancel(id) {
 		delete(s.waiting, id)
 		return failure.New(failure.Deadline, "the deadline passed or the caller went while the request waited")
 	}
@@ -392,7 +355,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.target == nil {
-		s.apply(s.gate.Done(time.Now(), id, gate.Aborted))
+		moves, _ := s.intake.Done(time.Now(), id, gate.Aborted, false)
+		s.apply(moves)
 		return 0, nil, failure.New(failure.NotReady, "the target has gone")
 	}
 	s.running[id] = call.Print
@@ -412,23 +376,26 @@
 }
 
 // onTarget runs a request that has a slot.
-func (s *Service) onTarget(ctx context.Context, id uint64, target *client, call wire.Call, deadline time.Time, header http.Header, body []byte, unused *int) (answer, *failure.Refusal) {
+func (s *Service) onTarget(ctx context.Context, id uint64, target *client, call wire.Call, deadline time.Time, header http.Header, body []byte, o *wire.Outcome) (answer, *failure.Refusal) {
 	token, parent := s.tokens.add(call, deadline)
 	began := time.Now()
 	a, refusal := target.send(ctx, call, token, header, body)
 	s.tokens.remove(token)
-	*unused = parent.left()
+	o.Unused, o.Inner = parent.end()
 	s.latency.UpdateDuration(began)
 	if refusal != nil && (refusal.Reason == failure.Lost || refusal.Reason == failure.NotReady) {
 		s.checkCrash(target)
 	}
-	s.done(id, call, a, refusal)
+	s.done(id, call, a, refusal, o.Inner)
 	return a, refusal
 }
 
-func (s *Service) done(id uint64, call wire.Call, a answer, refusal *failure.Refusal) {
+// done gives back the slot of a request. An answer that failed since an inner
+// call did says nothing about the target.
+func (s *Service) done(id uint64, call wire.Call, a answer, refusal *failure.Refusal, inner bool) {
 	result, failed := gate.Answered, false
 	switch {
+	case refusal == nil && inner:
 	case refusal != nil && refusal.Reason == failure.Deadline:
 		result = gate.Aborted
 	case refusal != nil:
@@ -440,12 +407,9 @@
 	}
 	s.mu.Lock()
 	delete(s.running, id)
-	s.apply(s.gate.Done(time.Now(), id, result))
-	before := s.health.Failing()
-	if result != gate.Aborted || failed {
-		s.health = s.health.WithAnswer(failed)
-	}
-	changed := before != s.health.Failing()
+	moves, changed := s.intake.Done(time.Now(), id, result, failed)
+	s.apply(moves)
+	failing := s.intake.Failing()
 	s.mu.Unlock()
 	if failed {
 		s.failed.Inc()
@@ -454,7 +418,7 @@
 		s.poison.Cleared(call.Print)
 	}
 	if changed {
-		s.log.WithField("failing", !before).Warn("target health changed")
+		s.log.WithField("failing", failing).Warn("target health changed")
 		s.publish()
 	}
 }
@@ -484,12 +448,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := struct {
-		Target   *Announcement `json:"target"`
-		Gate     gate.State    `json:"gate"`
-		Failures float64       `json:"failure_ratio"`
-		Failing  bool          `json:"failing"`
-		Draining bool          `json:"draining"`
-	}{Gate: s.gate.State(), Failures: s.health.Ratio(), Failing: s.health.Failing(), Draining: s.draining}
+		Target *Announcement `json:"target"`
+		intake.State
+		Draining bool `json:"draining"`
+	}{State: s.intake.State(), Draining: s.draining}
 	if s.target != nil {
 		a := s.target.announcement
 		state.Target = &a
--- a/internal/traffic/serve/tokens.go
+++ b/internal/traffic/serve/tokens.go
@@ -18,6 +18,8 @@
 	mu    sync.Mutex
 	extra *budget.Call
 	inner map[string]*Inner
+	// failed is set once an inner call was refused or lost.
+	failed bool
 }
 
 // Inner is one send of a call that the target makes under a parent. Repeats of
@@ -64,17 +66,19 @@
 }
 
 // End notes the outcome of a send that Begin allowed.
-func (p *Parent) End(inner *Inner, outcome any, notRun bool) {
+func (p *Parent) End(inner *Inner, outcome any, notRun, failed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.failed = p.failed || failed
 	inner.Outcome, inner.notRun = outcome, notRun
 	close(inner.Done)
 }
 
-func (p *Parent) left() int {
+// end returns the extra sends left and whether an inner call failed.
+func (p *Parent) end() (left int, innerFailed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.extra.Left()
+	return p.extra.Left(), p.failed
 }
 
 // tokens maps call tokens to the calls that run on the target.
--- a/internal/traffic/wire/wire.go
+++ b/internal/traffic/wire/wire.go
@@ -77,6 +77,8 @@
 	After   time.Duration    `json:"after,omitempty"`
 	// Status is the target's HTTP status.
 	Status int `json:"status,omitempty"`
+	// Inner is set when a call of the target's own failed during this one.
+	Inner bool `json:"inner,omitempty"`
 	// Unused is how many of the lent extra sends come back.
 	Unused int `json:"unused"`
 	// Load and Cut describe the serving node; Cut includes what the calls of
