Early refusal by services further down; levels follow a capacity model

Cause of what was found: the first level moved by idle slots (up to a doubling of the rank a tick) and by the quantile of offered work, and oscillated with a period of about 4 s at the entry stage; and cuts were kept per route, so that a node refused an order for an overloaded service while lookups, whose route had no fresh news, waited there. Now: the rate to let in is slots x completions / slot time less what works off the queue; the cut falls by the square of the queue over its aim and rises by the shortage. Cuts are kept per service further down and hold for every route that uses it.

--- a/internal/config/manifest/manifest.go
+++ b/internal/config/manifest/manifest.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -215,7 +216,7 @@
 	if m.Retry.Ratio < 0 || m.Retry.Ratio > 1 {
 		c.add("retry.ratio", "must be from 0 to 1, got %g", m.Retry.Ratio)
 	}
-	return trace.NewAggregate(c.errs...)
+	return errors.Join(c.errs...)
 }
 
 func (m Manifest) checkOrganisations(c *checker) {
@@ -300,7 +301,7 @@
 	}
 	m = m.Defaults()
 	if err := m.Validate(); err != nil {
-		return m, fmt.Errorf("validate manifest: %w", err)
+		return m, fmt.Errorf("validate manifest:\n%w", err)
 	}
 	return m, nil
 }
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -133,7 +134,7 @@
 	if s.Drain < 0 {
 		add("drain", "must not be negative")
 	}
-	return trace.NewAggregate(errs...)
+	return errors.Join(errs...)
 }
 
 type namedListener struct {
@@ -167,7 +168,7 @@
 	}
 	s = s.Defaults()
 	if err := s.Validate(); err != nil {
-		return s, fmt.Errorf("validate settings: %w", err)
+		return s, fmt.Errorf("validate settings:\n%w", err)
 	}
 	return s, nil
 }
--- a/internal/policy/choice/choice.go
+++ b/internal/policy/choice/choice.go
@@ -7,7 +7,9 @@
 package choice
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
@@ -18,6 +20,8 @@
 	// cutLife is how long a cut is believed after it was heard. Afterwards the
 	// next call goes through and hears the present one.
 	cutLife = 500 * time.Millisecond
+	// useLife is how long a route counts as using a service further down.
+	useLife = time.Minute
 	// loadLife is how long a reported load is believed.
 	loadLife = 2 * time.Second
 	// room is the load below which the own availability zone is preferred.
@@ -51,7 +55,7 @@
 	inFlight  int
 	load      float64
 	loadAt    time.Time
-	cuts      map[string]heard
+	cut       heard
 	failures  int
 	ejections int
 	outUntil  time.Time
@@ -62,17 +66,37 @@
 	at  time.Time
 }
 
+// now is the cut as believed at a time.
+func (h heard) now(now time.Time) priority.Cut {
+	if h.at.IsZero() || now.Sub(h.at) > cutLife {
+		return priority.Open
+	}
+	return h.cut
+}
+
+// Below is what the nodes of a service further down admit. Whatever route it
+// was heard on, it holds for all routes that use the service, so that they are
+// shed in one order.
+type Below struct {
+	Service string       `json:"svc"`
+	Cut     priority.Cut `json:"cut"`
+}
+
 // Chooser remembers what came of earlier calls. It is not safe for concurrent
 // use.
 type Chooser struct {
 	zone   string
 	random *rand.Rand
 	seen   map[string]*observed
+	// below is what services further down admit, and uses the services that
+	// calls of a route meet there, with the time of the latest news.
+	below map[string]heard
+	uses  map[string]map[string]time.Time
 }
 
 // New returns a chooser for a node in an availability zone.
 func New(zone string, random *rand.Rand) *Chooser {
-	return &Chooser{zone: zone, random: random, seen: map[string]*observed{}}
+	return &Chooser{zone: zone, random: random, seen: map[string]*observed{}, below: map[string]heard{}, uses: map[string]map[string]time.Time{}}
 }
 
 // Call is what a choice is made for.
@@ -106,8 +130,11 @@
 		usable, forced = untried, true
 	}
 	admitting := c.filter(usable, func(_ Candidate, o *observed) bool {
-		return o.admits(now, call)
+		return o.cut.now(now).Admits(call.Score, call.Depth)
 	})
+	if !c.belowCut(now, call.Route).Admits(call.Score, call.Depth) {
+		return Pick{}, failure.New(failure.Overload, "a service further down is overloaded")
+	}
 	if len(admitting) == 0 {
 		return Pick{}, failure.New(failure.Overload, "every target of the service is overloaded")
 	}
@@ -141,12 +168,17 @@
 	return kept
 }
 
-func (o *observed) admits(now time.Time, call Call) bool {
-	h, ok := o.cuts[call.Route]
-	if !ok || now.Sub(h.at) > cutLife {
-		return true
+// belowCut is the least that services further down admit for a route.
+func (c *Chooser) belowCut(now time.Time, route string) priority.Cut {
+	least := priority.Open
+	for service, at := range c.uses[route] {
+		if now.Sub(at) > useLife {
+			delete(c.uses[route], service)
+			continue
+		}
+		least = min(least, c.below[service].now(now))
 	}
-	return h.cut.Admits(call.Score, call.Depth)
+	return least
 }
 
 // near keeps the candidates of the own zone when one of them has room.
@@ -199,7 +231,7 @@
 func (c *Chooser) of(id string) *observed {
 	o, ok := c.seen[id]
 	if !ok {
-		o = &observed{cuts: map[string]heard{}}
+		o = &observed{}
 		c.seen[id] = o
 	}
 	return o
@@ -211,9 +243,10 @@
 // Report is what a candidate's answer said.
 type Report struct {
 	Route string
-	// Load and Cut come with every answer of a node.
-	Load float64
-	Cut  priority.Cut
+	// Load, Cut and Below come with every answer of a node.
+	Load  float64
+	Cut   priority.Cut
+	Below []Below
 }
 
 // Answered notes an answer of the candidate's node, whatever it said.
@@ -221,7 +254,8 @@
 	o := c.of(id)
 	o.inFlight = max(0, o.inFlight-1)
 	o.load, o.loadAt = r.Load, now
-	o.cuts[r.Route] = heard{cut: r.Cut, at: now}
+	o.cut = heard{cut: r.Cut, at: now}
+	c.learnBelow(now, r)
 	o.failures, o.ejections = 0, 0
 	o.outUntil = time.Time{}
 }
@@ -246,21 +280,35 @@
 	o.inFlight = max(0, o.inFlight-1)
 }
 
-// Cut is the most that any candidate admits for a route; Open when nothing
-// recent is known of one of them.
-func (c *Chooser) Cut(now time.Time, all []Candidate, route string) priority.Cut {
+func (c *Chooser) learnBelow(now time.Time, r Report) {
+	if len(r.Below) > 0 && c.uses[r.Route] == nil {
+		c.uses[r.Route] = map[string]time.Time{}
+	}
+	for _, b := range r.Below {
+		c.uses[r.Route][b.Service] = now
+		c.below[b.Service] = heard{cut: b.Cut, at: now}
+	}
+}
+
+// Below lists what calls of a route to a service meet from there on: the most
+// that any candidate of the service admits, and what services further down do.
+func (c *Chooser) Below(now time.Time, all []Candidate, service, route string) []Below {
 	most, known := priority.Closed, false
 	for _, k := range all {
-		h, ok := c.of(k.ID).cuts[route]
-		if !ok || now.Sub(h.at) > cutLife {
+		h := c.of(k.ID).cut
+		if h.at.IsZero() || now.Sub(h.at) > cutLife {
 			continue
 		}
 		most, known = max(most, h.cut), true
 	}
 	if !known {
-		return priority.Open
+		most = priority.Open
+	}
+	list := []Below{{Service: service, Cut: most}}
+	for _, name := range slices.Sorted(maps.Keys(c.uses[route])) {
+		list = append(list, Below{Service: name, Cut: c.below[name].now(now)})
 	}
-	return most
+	return list
 }
 
 // Keep forgets candidates that are gone and idle.
--- a/internal/policy/intake/intake.go
+++ b/internal/policy/intake/intake.go
@@ -3,9 +3,12 @@
 package intake
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/choice"
 	"chestnutshed.example/chestnutshed/internal/policy/gate"
 	"chestnutshed.example/chestnutshed/internal/policy/health"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
@@ -13,7 +16,7 @@
 
 const (
 	// childLife is how long a route counts as calling another one.
-	childLife = 5 * time.Second
+	childLife = time.Minute
 	// downAfter is when a caller refused for a service further down is asked to
 	// come back.
 	downAfter = time.Second
@@ -25,8 +28,9 @@
 	Route   string
 }
 
-// Down tells what the nodes that serve a child admit at most.
-type Down func(c Child) priority.Cut
+// Down tells what calls of a child meet: at the nodes that serve it and further
+// down.
+type Down func(c Child) []choice.Below
 
 // Intake is the state of one target's node. It is not safe for concurrent use.
 type Intake struct {
@@ -54,20 +58,34 @@
 	i.children[route][child] = now
 }
 
-// Cut is the least that this node and the nodes further down admit for calls
-// of a route.
-func (i *Intake) Cut(now time.Time, route string, down Down) priority.Cut {
-	return min(i.gate.Cut(), i.downCut(now, route, down))
-}
+// Cut is what this node admits.
+func (i *Intake) Cut() priority.Cut { return i.gate.Cut() }
 
-func (i *Intake) downCut(now time.Time, route string, down Down) priority.Cut {
-	least := priority.Open
+// Below is what calls of a route meet further down, one entry a service.
+func (i *Intake) Below(now time.Time, route string, down Down) []choice.Below {
+	least := map[string]priority.Cut{}
 	for child, last := range i.children[route] {
 		if now.Sub(last) > childLife {
 			delete(i.children[route], child)
 			continue
 		}
-		least = min(least, down(child))
+		for _, b := range down(child) {
+			if cut, ok := least[b.Service]; !ok || b.Cut < cut {
+				least[b.Service] = b.Cut
+			}
+		}
+	}
+	list := make([]choice.Below, 0, len(least))
+	for _, service := range slices.Sorted(maps.Keys(least)) {
+		list = append(list, choice.Below{Service: service, Cut: least[service]})
+	}
+	return list
+}
+
+func (i *Intake) downCut(now time.Time, route string, down Down) priority.Cut {
+	least := priority.Open
+	for _, b := range i.Below(now, route, down) {
+		least = min(least, b.Cut)
 	}
 	return least
 }
@@ -80,8 +98,12 @@
 		return gate.Refuse{Reason: failure.NotReady}, gate.Moves{}
 	}
 	if cut := i.downCut(now, r.Route, down); !cut.Admits(r.Score, r.Depth) {
+		cuts := map[string]priority.Cut{}
 		moves := i.gate.Shed(func(w gate.Request) bool {
-			return !i.downCut(now, w.Route, down).Admits(w.Score, w.Depth)
+			if _, ok := cuts[w.Route]; !ok {
+				cuts[w.Route] = i.downCut(now, w.Route, down)
+			}
+			return !cuts[w.Route].Admits(w.Score, w.Depth)
 		})
 		return gate.Refuse{Reason: failure.Overload, After: downAfter}, moves
 	}
--- a/internal/policy/level/level.go
+++ b/internal/policy/level/level.go
@@ -1,10 +1,12 @@
 // Package level decides how far down the order of scores a target's node
 // admits requests, from what its queue and slots show.
 //
-// Under overload the cut is the score up to which offered work matches the
-// measured capacity, less what drains the queue. While there is room, the cut
-// rises with the share of slots that stand idle, so recovery takes about a
-// second whether or not callers still retry.
+// Each tick compares the rate that may be let in, which is the capacity less
+// what works off the queue, with the rate that is offered below the cut. Too
+// much moves the cut down to where the offered work fits; too little moves it
+// up by a part of the shortage. Capacity follows from slots and holding times
+// whether or not the slots are all in use, so recovery takes about a second and
+// does not wait for callers to stop retrying.
 package level
 
 import (
@@ -22,16 +24,23 @@
 	binsPerClass = 256
 	// memory is the time constant of offered work and capacity.
 	memory = 500 * time.Millisecond
+	// recent is the time constant of the rate let in.
+	recent = 150 * time.Millisecond
 	// drain is the time in which a queue over its aim is worked off.
 	drain = 500 * time.Millisecond
-	// fullUse is the utilisation above which the cut isn't raised.
-	fullUse = 0.97
+	// headroom is how far over the capacity the rate may go while the queue is
+	// under its aim, so that no slot stays idle.
+	headroom = 1.2
+	// leastPart is the part of the capacity that is let in at least.
+	leastPart = 0.3
+	// gain is the part of a shortage that one tick makes up.
+	gain = 1
 	// minRise and maxRise bound one rise of the cut, in doublings of the rank.
 	minRise = 0.02
 	maxRise = 1
 	// fallStep bounds one fall of the cut, in doublings of the rank, when the
 	// queue is at its aim; the bound grows with the square of the queue.
-	fallStep = 0.3
+	fallStep = 1
 	// topFade is how fast the top of offered scores is forgotten, in scores a
 	// second.
 	topFade = 0.01
@@ -54,10 +63,16 @@
 // Level is the cut of one node and what it is computed from. It is not safe
 // for concurrent use.
 type Level struct {
-	cut      priority.Cut
-	offered  [manifest.Importances * binsPerClass]float64
-	fresh    []priority.Score
-	capacity float64
+	cut     priority.Cut
+	offered [manifest.Importances * binsPerClass]float64
+	fresh   []priority.Score
+	// let is the rate offered below the cut lately, in requests a second.
+	let float64
+	// done and busy are decaying sums of completions and of slot time in use.
+	done float64
+	busy float64
+	// slots is the latest concurrency limit.
+	slots int
 	// top is the greatest score lately offered at each importance, the most
 	// important first. Senders hold back what is above the cut, so the top
 	// outlives what is seen.
@@ -72,8 +87,14 @@
 // Cut is the present cut.
 func (l *Level) Cut() priority.Cut { return l.cut }
 
-// Capacity is the measured capacity in requests a second; 0 if none was seen.
-func (l *Level) Capacity() float64 { return l.capacity }
+// Capacity is what the slots can do in requests a second, at the present
+// holding times; 0 if nothing was done lately.
+func (l *Level) Capacity() float64 {
+	if l.busy < 1e-9 {
+		return 0
+	}
+	return float64(l.slots) * l.done / l.busy
+}
 
 // Offer counts an arrival, admitted or not.
 func (l *Level) Offer(s priority.Score) { l.fresh = append(l.fresh, s) }
@@ -83,15 +104,36 @@
 	if load.Elapsed <= 0 {
 		return
 	}
-	keep := math.Exp(-load.Elapsed.Seconds() / memory.Seconds())
+	l.slots = load.Slots
+	keep := decay(load.Elapsed, memory)
+	l.done = l.done*keep + float64(load.Done)
+	l.busy = l.busy*keep + load.Busy*load.Elapsed.Seconds()
 	l.learnOffered(load.Elapsed, keep)
-	aim := queueAim(load.Slots)
-	if load.Waiting <= aim {
-		l.rise(load)
+	if l.Capacity() == 0 {
 		return
 	}
-	l.learnCapacity(load, keep)
-	l.fall(load, aim)
+	l.move(load)
+}
+
+func decay(elapsed, constant time.Duration) float64 {
+	return math.Exp(-elapsed.Seconds() / constant.Seconds())
+}
+
+// move brings the rate let in towards the rate that may be.
+func (l *Level) move(load Load) {
+	aim := queueAim(load.Slots)
+	capacity := l.Capacity()
+	over := float64(load.Waiting-aim) / drain.Seconds()
+	may := min(max(capacity-over, leastPart*capacity), headroom*capacity)
+	switch {
+	case load.Waiting > aim:
+		excess := float64(load.Waiting) / float64(aim)
+		lowest := l.cut.WithStep(-fallStep * excess * excess)
+		l.cut = min(l.cut, max(l.quantile(may), lowest))
+	case l.cut < priority.Open && l.let < may:
+		shortage := math.Log2(may / max(l.let, may/16))
+		l.cut = l.skipEmpty(l.cut.WithStep(min(max(gain*shortage, minRise), maxRise)))
+	}
 }
 
 // queueAim is the number of waiting items that keeps all slots in use.
@@ -106,45 +148,18 @@
 		floor := priority.Score(class)
 		l.top[class] = max(floor, l.top[class]-topFade*priority.Score(elapsed.Seconds()))
 	}
+	below := 0.0
 	for _, s := range l.fresh {
+		if l.cut.Admits(s, 1) {
+			below++
+		}
 		l.offered[bin(s)] += weight
 		class := min(int(s), len(l.top)-1)
 		l.top[class] = max(l.top[class], s)
 	}
 	l.fresh = l.fresh[:0]
-}
-
-// learnCapacity averages the completions of ticks in which all slots were busy.
-func (l *Level) learnCapacity(load Load, keep float64) {
-	rate := float64(load.Done) / load.Elapsed.Seconds()
-	if l.capacity == 0 {
-		l.capacity = rate
-		return
-	}
-	l.capacity = l.capacity*keep + rate*(1-keep)
-}
-
-// fall sets the cut to where offered work matches what can be done.
-func (l *Level) fall(load Load, aim int) {
-	target := l.capacity - float64(load.Waiting-aim)/drain.Seconds()
-	target = max(target, 0.2*l.capacity, 0.5)
-	cut := l.quantile(target)
-	excess := float64(load.Waiting) / float64(aim)
-	cut = max(cut, l.cut.WithStep(-fallStep*excess*excess))
-	l.cut = min(l.cut, cut)
-}
-
-// rise raises the cut by the share of idle slots.
-func (l *Level) rise(load Load) {
-	if l.cut >= priority.Open || load.Slots == 0 {
-		return
-	}
-	idle := fullUse - load.Busy/float64(load.Slots)
-	if idle <= 0 && load.Waiting > queueAim(load.Slots)/2 {
-		return
-	}
-	step := max(minRise, min(maxRise, 2*idle*maxRise))
-	l.cut = l.skipEmpty(l.cut.WithStep(step))
+	keepRecent := decay(elapsed, recent)
+	l.let = l.let*keepRecent + below/elapsed.Seconds()*(1-keepRecent)
 }
 
 // skipEmpty moves a cut above all work lately offered at its importance to the
--- a/internal/standin/experiment/model.go
+++ b/internal/standin/experiment/model.go
@@ -17,7 +17,6 @@
 	"chestnutshed.example/chestnutshed/internal/policy/intake"
 	"chestnutshed.example/chestnutshed/internal/policy/level"
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
-	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/rank"
 )
 
@@ -250,9 +249,9 @@
 	return s.plan.apart
 }
 
-// down is what the nodes of the next stage admit, as this node has heard.
-func (v *server) down(c intake.Child) priority.Cut {
-	return v.chooser.Cut(v.sim.now, v.sim.candidates(v.stage+1), c.Route)
+// down is what calls of the next stage meet, as this node has heard.
+func (v *server) down(c intake.Child) []choice.Below {
+	return v.chooser.Below(v.sim.now, v.sim.candidates(v.stage+1), c.Service, c.Route)
 }
 
 // crash ends a target with all that it runs; it comes back cold.
--- a/internal/standin/experiment/traffic.go
+++ b/internal/standin/experiment/traffic.go
@@ -201,7 +201,8 @@
 				from.chooser.Answered(s.now, to.id, choice.Report{
 					Route: c.route(),
 					Load:  to.intake.Load(),
-					Cut:   to.intake.Cut(s.now, c.route(), to.down),
+					Cut:   to.intake.Cut(),
+					Below: to.intake.Below(s.now, c.route(), to.down),
 				})
 			}
 			back(result, unused)
@@ -250,6 +251,7 @@
 		Depth:        c.stage + 1,
 		Deadline:     c.root.deadline,
 	}, w.forced || !s.variant.Health, v.down)
+	v.apply(moves)
 	switch verdict := verdict.(type) {
 	case gate.Start:
 		v.begin(w)
@@ -263,7 +265,6 @@
 		v.free(w)
 		w.reply(refused(verdict.Reason), w.extra.Left(), false)
 	}
-	v.apply(moves)
 }
 
 func (v *server) apply(moves gate.Moves) {
@@ -272,9 +273,13 @@
 		delete(v.waiting, id)
 		v.begin(w)
 	}
+	gone := map[uint64]*work{}
 	for _, left := range moves.Left {
-		w := v.waiting[left.ID]
+		gone[left.ID] = v.waiting[left.ID]
 		delete(v.waiting, left.ID)
+	}
+	for _, left := range moves.Left {
+		w := gone[left.ID]
 		if left.Reason == failure.Overload {
 			v.sim.result.refusedAt(v, w.call.root)
 		}
@@ -370,7 +375,7 @@
 func (v *server) inner(w *work, repeats int) {
 	s, c := v.sim, w.call
 	next := &call{root: c.root, stage: c.stage + 1, lent: w.extra.Lend()}
-	v.intake.Called(s.now, c.route(), intake.Child{Route: next.route()})
+	v.intake.Called(s.now, c.route(), intake.Child{Service: s.plan.stages[next.stage].Name, Route: next.route()})
 	next.done = func(result resend.Result, unused int) {
 		w.extra.Return(unused, next.lent)
 		whole, ok := result.(resend.Whole)
--- a/internal/standin/process/path_test.go
+++ b/internal/standin/process/path_test.go
@@ -31,10 +31,13 @@
 	os.Exit(code)
 }
 
+// examplesFolder holds the manifests that tests ship.
+const examplesFolder = "../../../examples"
+
 // patience bounds every wait for a condition.
 const patience = 60 * time.Second
 
-// newBench starts a platform and ships a manifest of testdata.
+// newBench starts a platform and ships an example manifest.
 func newBench(t *testing.T, manifest string) (*process.Bench, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
@@ -51,7 +54,7 @@
 	if err := b.StartPlatform(ctx); err != nil {
 		t.Fatal(err)
 	}
-	if out, code := b.Run("ship", "--reviewed", "0", "--by", "test", filepath.Join("testdata", manifest)); code != 0 {
+	if out, code := b.Run("ship", "--reviewed", "0", "--by", "test", filepath.Join(examplesFolder, manifest)); code != 0 {
 		t.Fatal(out)
 	}
 	return b, ctx
@@ -78,7 +81,7 @@
 
 func TestWholePathAsProcesses(t *testing.T) {
 	is := is.New(t)
-	b, ctx := newBench(t, "two.jsonc")
+	b, ctx := newBench(t, "small.jsonc")
 	addTwo(ctx, t, b)
 	tests := []struct {
 		name       string
@@ -138,7 +141,7 @@
 func checkWithdrawn(ctx context.Context, t *testing.T, b *process.Bench) {
 	t.Helper()
 	is := is.New(t)
-	text, err := os.ReadFile(filepath.Join("testdata", "two.jsonc"))
+	text, err := os.ReadFile(filepath.Join(examplesFolder, "small.jsonc"))
 	is.NoErr(err)
 	lines := strings.Split(string(text), "\n")
 	for i, line := range lines {
--- a/internal/traffic/sender/sender.go
+++ b/internal/traffic/sender/sender.go
@@ -19,7 +19,6 @@
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/policy/budget"
 	"chestnutshed.example/chestnutshed/internal/policy/choice"
-	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/resend"
 	"chestnutshed.example/chestnutshed/internal/traffic/peers"
 	"chestnutshed.example/chestnutshed/internal/traffic/wire"
@@ -169,13 +168,13 @@
 	return found
 }
 
-// Cut is the most that the nodes of a service admit for a route, as far as
-// this node has heard lately.
-func (s *Service) Cut(now time.Time, service, route string) priority.Cut {
+// Below is what calls of a route to a service meet, as far as this node has
+// heard lately.
+func (s *Service) Below(now time.Time, service, route string) []choice.Below {
 	all := s.Candidates(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.chooser.Cut(now, all, route)
+	return s.chooser.Below(now, all, service, route)
 }
 
 // Send carries a call out. It returns when there is a whole answer, a refusal,
@@ -234,7 +233,7 @@
 		return reply
 	}
 	s.mu.Lock()
-	s.chooser.Answered(time.Now(), to.ID, choice.Report{Route: call.Route, Load: reply.Outcome.Load, Cut: reply.Outcome.Cut})
+	s.chooser.Answered(time.Now(), to.ID, choice.Report{Route: call.Route, Load: reply.Outcome.Load, Cut: reply.Outcome.Cut, Below: reply.Outcome.Below})
 	s.mu.Unlock()
 	var result resend.Result = resend.Whole{Status: reply.Outcome.Status, Inner: reply.Outcome.Inner}
 	if r := reply.Outcome.Refusal; r != nil {
--- a/internal/traffic/serve/serve.go
+++ b/internal/traffic/serve/serve.go
@@ -16,11 +16,11 @@
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/gossip"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"chestnutshed.example/chestnutshed/internal/policy/choice"
 	"chestnutshed.example/chestnutshed/internal/policy/gate"
 	"chestnutshed.example/chestnutshed/internal/policy/intake"
 	"chestnutshed.example/chestnutshed/internal/policy/level"
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
-	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/resend"
 	"chestnutshed.example/chestnutshed/internal/traffic/peers"
 	"chestnutshed.example/chestnutshed/internal/traffic/wire"
@@ -34,9 +34,9 @@
 // maxRequest bounds a request between nodes, in bytes.
 const maxRequest = 64 << 20
 
-// Downstream tells what the nodes of a service admit for a route.
+// Downstream tells what calls of a route to a service meet.
 type Downstream interface {
-	Cut(now time.Time, service, route string) priority.Cut
+	Below(now time.Time, service, route string) []choice.Below
 }
 
 // Service runs calls on the own target.
@@ -204,7 +204,7 @@
 
 // down tells what nodes further down admit, as this node has heard.
 func (s *Service) down(now time.Time) intake.Down {
-	return func(c intake.Child) priority.Cut { return s.downstream.Cut(now, c.Service, c.Route) }
+	return func(c intake.Child) []choice.Below { return s.downstream.Below(now, c.Service, c.Route) }
 }
 
 // serveCall runs a call from another node.
@@ -249,7 +249,7 @@
 	a, refusal := s.run(ctx, call, deadline, header, body, &o)
 	now := time.Now()
 	s.mu.Lock()
-	o.Cut = s.intake.Cut(now, call.Route, s.down(now))
+	o.Cut, o.Below = s.intake.Cut(), s.intake.Below(now, call.Route, s.down(now))
 	o.Load, o.Failing, o.Leaving = s.intake.Load(), s.intake.Failing(), s.draining
 	s.mu.Unlock()
 	if refusal != nil {
--- a/internal/traffic/serve/target.go
+++ b/internal/traffic/serve/target.go
@@ -60,7 +60,7 @@
 	if a.Connections < a.Slots {
 		errs = append(errs, trace.BadParameter("connections: must be at least the slots, got %d", a.Connections))
 	}
-	return trace.NewAggregate(errs...)
+	return errors.Join(errs...)
 }
 
 // client sends requests to one instance of the target.
--- a/internal/traffic/wire/wire.go
+++ b/internal/traffic/wire/wire.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/choice"
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"github.com/gravitational/trace"
@@ -81,12 +82,13 @@
 	Inner bool `json:"inner,omitempty"`
 	// Unused is how many of the lent extra sends come back.
 	Unused int `json:"unused"`
-	// Load and Cut describe the serving node; Cut includes what the calls of
-	// this route meet further down.
-	Load    float64      `json:"load"`
-	Cut     priority.Cut `json:"cut"`
-	Failing bool         `json:"failing,omitempty"`
-	Leaving bool         `json:"leaving,omitempty"`
+	// Load and Cut describe the serving node, Below what calls of this route
+	// meet further down.
+	Load    float64        `json:"load"`
+	Cut     priority.Cut   `json:"cut"`
+	Below   []choice.Below `json:"below,omitempty"`
+	Failing bool           `json:"failing,omitempty"`
+	Leaving bool           `json:"leaving,omitempty"`
 }
 
 // Encode returns a value for a header.
--- /dev/null
+++ b/internal/traffic/wire/wire_test.go
@@ -0,0 +1,84 @@
+package wire_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/traffic/wire"
+	"github.com/matryer/is"
+)
+
+func call() wire.Call {
+	return wire.Call{ID: "i", Root: "r", Method: "GET", Target: "/x", Depth: 1, Left: time.Second}
+}
+
+func TestCallRoundTrip(t *testing.T) {
+	is := is.New(t)
+	text, err := wire.Encode(call())
+	is.NoErr(err)
+	back, err := wire.DecodeCall(http.Header{wire.CallHeader: {text}})
+	is.NoErr(err)
+	is.Equal(back, call())
+}
+
+func TestDecodeCallRefuses(t *testing.T) {
+	change := func(f func(c *wire.Call)) []string {
+		c := call()
+		f(&c)
+		text, _ := wire.Encode(c)
+		return []string{text}
+	}
+	tests := []struct {
+		name   string
+		values []string
+	}{
+		{"nothing", nil},
+		{"two", append(change(func(*wire.Call) {}), "{}")},
+		{"no JSON", []string{"{"}},
+		{"no id", change(func(c *wire.Call) { c.ID = "" })},
+		{"no root", change(func(c *wire.Call) { c.Root = "" })},
+		{"no depth", change(func(c *wire.Call) { c.Depth = 0 })},
+		{"too deep", change(func(c *wire.Call) { c.Depth = wire.MaxDepth + 1 })},
+		{"no time left", change(func(c *wire.Call) { c.Left = 0 })},
+		{"negative extra sends", change(func(c *wire.Call) { c.Extra = -1 })},
+		{"a target that is no path", change(func(c *wire.Call) { c.Target = "http://x/" })},
+	}
+	for _, tt := range tests {
+		if _, err := wire.DecodeCall(http.Header{wire.CallHeader: tt.values}); err == nil {
+			t.Errorf("%s was taken", tt.name)
+		}
+	}
+}
+
+func TestOutcomeOfAnotherCall(t *testing.T) {
+	is := is.New(t)
+	text, err := wire.Encode(wire.Outcome{ID: "other"})
+	is.NoErr(err)
+	_, err = wire.DecodeOutcome(http.Header{wire.OutcomeHeader: {text}}, "mine")
+	is.True(err != nil)
+}
+
+func TestForwardHoldsBack(t *testing.T) {
+	is := is.New(t)
+	h := http.Header{
+		"Authorization": {"Bearer k"}, "Cookie": {"c"}, "Idempotency-Key": {"t"}, "Chestnut-Call": {"x"},
+		"Connection": {"X-Drop, keep-alive"}, "X-Drop": {"1"}, "Transfer-Encoding": {"chunked"}, "X-Keep": {"1"},
+	}
+	is.Equal(wire.Forward(h), http.Header{"X-Keep": {"1"}})
+}
+
+func FuzzDecodeCall(f *testing.F) {
+	text, _ := wire.Encode(call())
+	f.Add(text)
+	f.Add(`{"id":"a","root":"b","depth":-1}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := wire.DecodeCall(http.Header{wire.CallHeader: {text}})
+		if err != nil {
+			return
+		}
+		if c.Depth < 1 || c.Depth > wire.MaxDepth || c.Left <= 0 || c.Extra < 0 {
+			t.Errorf("%q gives %+v", text, c)
+		}
+	})
+}
