--- a/cmd/chestnutshed/main.go
+++ b/cmd/chestnutshed/main.go
@@ -54,6 +54,7 @@
 		{"diff", "show what a ship would change", diffUsage, &diffCommand{out: out}},
 		{"ship", "put a manifest in force", shipUsage, &shipCommand{out: out}},
 		{"status", "show the fleet at a glance", statusUsage, &statusCommand{out: out}},
+		{"handover", "write the page for the next pair", handoverUsage, &handoverCommand{out: out}},
 		{"state", "dump the state of a node", stateUsage, &stateCommand{out: out}},
 		{"drain", "stop a node without cutting requests", drainUsage, &drainCommand{out: out}},
 		{"key", "make a key for an organisation", keyUsage, &keyCommand{out: out}},
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -32,6 +32,7 @@
 		{"platform", "play the platform's object API", platformUsage, &platformCommand{}},
 		{"target", "play a target beside a node", targetUsage, &targetCommand{}},
 		{"load", "play callers", loadUsage, &loadCommand{out: out}},
+		{"measure", "take the figures of docs/CAPACITY.md", measureUsage, &measureCommand{out: out}},
 		{"experiment", "measure the decisions in virtual time", experimentUsage, &experimentCommand{out: out}},
 	}
 }
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -15,6 +15,7 @@
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/part"
 	"chestnutshed.example/chestnutshed/internal/operate/console"
+	"chestnutshed.example/chestnutshed/internal/operate/journal"
 	"chestnutshed.example/chestnutshed/internal/platform/object"
 	"chestnutshed.example/chestnutshed/internal/traffic/entry"
 	"chestnutshed.example/chestnutshed/internal/traffic/home"
@@ -109,8 +110,9 @@
 	n.rates.Routes(listener)
 	n.serve.Routes(listener)
 	n.home.Routes(listener)
+	counts := journal.New(store, s.Zone, n.entry)
 	operators := console.New(s, set, n.Drain, n.config.Version)
-	order := []kernel.Service{listener, operators, n.config, n.gossip, n.rates, send, n.serve, n.home, n.entry}
+	order := []kernel.Service{listener, operators, n.config, n.gossip, n.rates, send, n.serve, n.home, counts, n.entry}
 	for _, service := range order {
 		if err := n.kernel.Register(service); err != nil {
 			return err
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -398,11 +398,11 @@
 func (g *Service) revive(ctx context.Context) {
 	var dead []member.Record
 	g.mu.Lock()
-	for _, r := range g.table.All() {
+	g.table.Each(func(r *member.Record) {
 		if r.Status == member.Dead && !r.Proven {
-			dead = append(dead, r)
+			dead = append(dead, *r)
 		}
-	}
+	})
 	g.mu.Unlock()
 	if len(dead) == 0 {
 		return
@@ -446,11 +446,11 @@
 	defer g.mu.Unlock()
 	self := g.table.Self()
 	before := 0
-	for _, r := range g.table.All() {
+	g.table.Each(func(r *member.Record) {
 		if r.Zone == self.Zone && r.Status == member.Alive && r.ID < self.ID {
 			before++
 		}
-	}
+	})
 	return before < watchers
 }
 
@@ -458,13 +458,16 @@
 func (g *Service) State() any {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	sent, bytes := g.client.Control()
 	return struct {
 		Self     member.Record   `json:"self"`
 		Watcher  bool            `json:"watcher"`
+		Sent     uint64          `json:"control_messages"`
+		Bytes    uint64          `json:"control_bytes"`
 		Messages uint64          `json:"messages"`
 		Dropped  uint64          `json:"dropped"`
 		Members  []member.Record `json:"members"`
-	}{g.table.Self(), g.watching.Load(), g.messages.Load(), g.news.Dropped(), g.table.All()}
+	}{g.table.Self(), g.watching.Load(), sent, bytes, g.messages.Load(), g.news.Dropped(), g.table.All()}
 }
 
 // memberTopic shares the table of members.
@@ -487,9 +490,7 @@
 func (t *memberTopic) Each(visit func(key string, hash uint64)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, r := range t.table.All() {
-		visit(r.ID, r.Hash())
-	}
+	t.table.Each(func(r *member.Record) { visit(r.ID, r.Hash()) })
 }
 
 // Gather implements Topic.
@@ -497,10 +498,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var m Message
-	for _, r := range t.table.All() {
+	t.table.Each(func(r *member.Record) {
 		if match(r.ID) {
-			m.Members = append(m.Members, r)
+			m.Members = append(m.Members, *r)
 		}
-	}
+	})
 	return m
 }
--- a/internal/fleet/gossip/rendezvous.go
+++ b/internal/fleet/gossip/rendezvous.go
@@ -108,9 +108,7 @@
 func (g *Service) join(ctx context.Context, addresses []string) {
 	known := map[string]bool{}
 	g.mu.Lock()
-	for _, r := range g.table.All() {
-		known[r.Address] = known[r.Address] || !r.Gone()
-	}
+	g.table.Each(func(r *member.Record) { known[r.Address] = known[r.Address] || !r.Gone() })
 	g.mu.Unlock()
 	for _, address := range addresses {
 		if known[address] {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -202,8 +202,8 @@
 }
 
 func outranks(r, known Record) bool {
-	if known.Status == Left {
-		return r.Status == Left && r.Beat > known.Beat
+	if (known.Status == Left) != (r.Status == Left) {
+		return r.Status == Left
 	}
 	if r.Beat != known.Beat {
 		return r.Beat > known.Beat
@@ -340,6 +340,14 @@
 	return found
 }
 
+// Each calls visit with every record, in no order. It copies nothing, so that
+// duties can look at a large fleet often.
+func (t *Table) Each(visit func(r *Record)) {
+	for _, e := range t.entries {
+		visit(&e.record)
+	}
+}
+
 // All returns all records, ordered by address.
 func (t *Table) All() []Record {
 	all := make([]Record, 0, len(t.entries))
--- /dev/null
+++ b/internal/fleet/member/member_test.go
@@ -0,0 +1,99 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(0, 0)
+
+func record(id, address string, started int64) member.Record {
+	return member.Record{ID: id, Address: address, Zone: "z", Started: started}
+}
+
+func TestRefutesDoubtAboutItself(t *testing.T) {
+	is := is.New(t)
+	table := member.New(start, record("me", "a:1", 1))
+	news, ok := table.Learn(start, table.Self().WithStatus(member.Suspect))
+	is.True(ok)
+	is.Equal(news.Status, member.Alive)
+	is.Equal(news.Beat, uint64(1))
+}
+
+func TestSuspectDiesUnlessItAnswers(t *testing.T) {
+	is := is.New(t)
+	table := member.New(start, record("me", "a:1", 1))
+	table.Learn(start, record("x", "a:2", 1))
+	table.Doubt(start, "x")
+	is.Equal(len(table.Expire(start.Add(time.Second))), 0)
+	dead := table.Expire(start.Add(4 * time.Second))
+	is.Equal(len(dead), 1)
+	is.True(!dead[0].Proven) // silence is no proof
+	news, ok := table.Learn(start.Add(5*time.Second), record("x", "a:2", 1).WithBeat(1))
+	is.True(ok)
+	is.Equal(news.Status, member.Alive)
+}
+
+func TestNewIncarnationEndsTheOldOne(t *testing.T) {
+	is := is.New(t)
+	table := member.New(start, record("me", "a:1", 1))
+	table.Learn(start, record("old", "a:2", 1))
+	table.Learn(start, record("new", "a:2", 2))
+	old, _ := table.Get("old")
+	is.Equal(old.Status, member.Dead)
+	is.True(old.Proven)
+	at, _ := table.At("a:2")
+	is.Equal(at.ID, "new")
+	late, _ := table.Learn(start, record("old", "a:2", 1).WithBeat(9))
+	is.Equal(late.Status, member.Dead)
+}
+
+func TestHeirs(t *testing.T) {
+	is := is.New(t)
+	table := member.New(start, record("me", "a:1", 1))
+	left := record("x", "a:2", 1).WithBeat(1).WithStatus(member.Left)
+	left.Heir = "me"
+	table.Learn(start, left)
+	heir, ok := table.Heir("x")
+	is.True(ok)
+	is.Equal(heir.ID, "me")
+}
+
+// Two tables that hear the same records in any order agree on all of them.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var news []member.Record
+		for range rapid.IntRange(1, 20).Draw(t, "news") {
+			r := record(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "id"), "", 1)
+			r.Address = "a:" + r.ID
+			r.Beat = uint64(rapid.IntRange(0, 3).Draw(t, "beat"))
+			r.Status = member.Status(rapid.IntRange(0, 3).Draw(t, "status"))
+			r.Proven = r.Status == member.Left
+			news = append(news, r)
+		}
+		one, two := member.New(start, record("me", "a:1", 1)), member.New(start, record("me", "a:1", 1))
+		for _, r := range news {
+			one.Learn(start, r)
+		}
+		for _, i := range rapid.Permutation(news).Draw(t, "order") {
+			two.Learn(start, i)
+		}
+		for _, id := range []string{"x", "y"} {
+			a, _ := one.Get(id)
+			b, _ := two.Get(id)
+			if a.Status == member.Left || b.Status == member.Left {
+				if a.Status != b.Status {
+					t.Fatalf("%+v and %+v", a, b)
+				}
+				continue
+			}
+			if a != b {
+				t.Fatalf("%+v and %+v", a, b)
+			}
+		}
+	})
+}
--- a/internal/fleet/part/keep.go
+++ b/internal/fleet/part/keep.go
@@ -80,13 +80,12 @@
 		return nil
 	}
 	s.dropUnknown(c.Index)
-	nodes := s.nodes()
 	var errs []error
 	for i := range c.Index.Manifest().Organisations {
 		org := &c.Index.Manifest().Organisations[i]
 		for n := range org.Parts {
 			id := claim.Part{Organisation: org.Name, Number: n}
-			if err := s.keepOne(ctx, now, id, org, nodes); err != nil {
+			if err := s.keepOne(ctx, now, id, org); err != nil {
 				errs = append(errs, err)
 			}
 		}
@@ -116,33 +115,23 @@
 	}
 }
 
-// nodes returns the nodes that seem to run.
-func (s *Service) nodes() []member.Record {
-	var nodes []member.Record
+// candidate reports whether this node is among those that may claim a part:
+// the ones with the greatest hash of part and node that seem to run.
+func (s *Service) candidate(id claim.Part, self string) bool {
+	name := id.String()
+	own := xxhash.Sum64String(name + self)
+	before := 0
 	s.gossip.Table(func(t *member.Table) {
-		for _, r := range t.All() {
-			if r.Status == member.Alive && !r.Leaving {
-				nodes = append(nodes, r)
+		t.Each(func(r *member.Record) {
+			if r.Status == member.Alive && !r.Leaving && xxhash.Sum64String(name+r.ID) > own {
+				before++
 			}
-		}
+		})
 	})
-	return nodes
-}
-
-// candidate reports whether this node is among those that may claim a part:
-// the ones with the greatest hash of part and node.
-func candidate(id claim.Part, self string, nodes []member.Record) bool {
-	own := xxhash.Sum64String(id.String() + self)
-	before := 0
-	for _, r := range nodes {
-		if xxhash.Sum64String(id.String()+r.ID) > own {
-			before++
-		}
-	}
 	return before < candidates
 }
 
-func (s *Service) keepOne(ctx context.Context, now time.Time, id claim.Part, org *manifest.Organisation, nodes []member.Record) error {
+func (s *Service) keepOne(ctx context.Context, now time.Time, id claim.Part, org *manifest.Organisation) error {
 	s.mu.Lock()
 	h, holds := s.holds[id]
 	known, isKnown := s.known[id]
@@ -157,7 +146,7 @@
 		s.mu.Unlock()
 		return nil
 	}
-	if !candidate(id, self, nodes) {
+	if !s.candidate(id, self) {
 		return nil
 	}
 	return s.challenge(ctx, now, id, org)
--- /dev/null
+++ b/internal/policy/choice/choice_test.go
@@ -0,0 +1,98 @@
+package choice_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/choice"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+func chooser() *choice.Chooser { return choice.New("here", rand.New(rand.NewPCG(1, 1))) }
+
+func call() choice.Call {
+	return choice.Call{Route: "r", Score: priority.New(manifest.Normal, 5), Depth: 1}
+}
+
+// share counts how often each candidate is picked of 1000 calls.
+func share(c *choice.Chooser, now time.Time, all []choice.Candidate) map[string]int {
+	picked := map[string]int{}
+	for range 1000 {
+		p, refusal := c.Choose(now, all, call())
+		if refusal == nil {
+			picked[p.Candidate.ID]++
+		}
+	}
+	return picked
+}
+
+func TestOwnZoneFirstWhileItHasRoom(t *testing.T) {
+	is := is.New(t)
+	c := chooser()
+	all := []choice.Candidate{{ID: "near", Zone: "here", Slots: 10}, {ID: "far", Zone: "there", Slots: 10}}
+	is.Equal(share(c, start, all)["near"], 1000)
+	c.Answered(start, "near", choice.Report{Load: 2, Cut: priority.Open})
+	is.True(share(c, start, all)["far"] > 900)
+}
+
+func TestColdTargetsWarmUp(t *testing.T) {
+	is := is.New(t)
+	c := chooser()
+	all := []choice.Candidate{{ID: "warm", Slots: 10}, {ID: "cold", Slots: 10, Since: start}}
+	is.Equal(share(c, start, all)["cold"], 0)
+	is.True(share(c, start.Add(time.Minute), all)["cold"] > 400)
+}
+
+func TestObservedFailuresOutrankWhatIsReported(t *testing.T) {
+	is := is.New(t)
+	c := chooser()
+	all := []choice.Candidate{{ID: "a", Slots: 10}, {ID: "b", Slots: 10}}
+	for range 3 {
+		c.Sent("a")
+		c.Failed(start, "a")
+	}
+	is.Equal(share(c, start, all)["a"], 0)
+	is.True(share(c, start.Add(time.Minute), all)["a"] > 0) // tried again later
+	all[1].Failing = true
+	p, refusal := c.Choose(start, all, call())
+	is.True(refusal == nil)
+	is.True(p.Forced) // all seem to fail: one is tried all the same
+}
+
+func TestCutsRefuseEarly(t *testing.T) {
+	closed := priority.Cut(priority.New(manifest.High, 0))
+	tests := []struct {
+		name  string
+		learn func(c *choice.Chooser)
+		at    time.Time
+		want  bool
+	}{
+		{"nothing known", func(*choice.Chooser) {}, start, true},
+		{"the only candidate is cut", func(c *choice.Chooser) { c.Answered(start, "a", choice.Report{Route: "r", Cut: closed}) }, start, false},
+		{"the news is old", func(c *choice.Chooser) { c.Answered(start, "a", choice.Report{Route: "r", Cut: closed}) }, start.Add(time.Second), true},
+		{"a service further down is cut", func(c *choice.Chooser) {
+			c.Answered(start, "a", choice.Report{Route: "r", Cut: priority.Open, Below: []choice.Below{{Service: "deep", Cut: closed}}})
+		}, start, false},
+		{"heard on another route that uses it too", func(c *choice.Chooser) {
+			c.Answered(start.Add(-time.Second), "a", choice.Report{Route: "r", Cut: priority.Open, Below: []choice.Below{{Service: "deep", Cut: priority.Open}}})
+			c.Answered(start, "a", choice.Report{Route: "other", Cut: priority.Open, Below: []choice.Below{{Service: "deep", Cut: closed}}})
+		}, start, false},
+	}
+	for _, tt := range tests {
+		c := chooser()
+		tt.learn(c)
+		_, refusal := c.Choose(tt.at, []choice.Candidate{{ID: "a", Slots: 10}}, call())
+		if (refusal == nil) != tt.want {
+			t.Errorf("%s: got %v, want admitted %t", tt.name, refusal, tt.want)
+		}
+		if refusal != nil && (refusal.Reason != failure.Overload || refusal.Ran != failure.RanNo) {
+			t.Errorf("%s: refused as %v", tt.name, refusal)
+		}
+	}
+}
--- /dev/null
+++ b/internal/policy/poison/poison_test.go
@@ -0,0 +1,42 @@
+package poison_test
+
+import (
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/policy/poison"
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(0, 0)
+
+func TestSecondCrashBansTheSuspectOnly(t *testing.T) {
+	is := is.New(t)
+	table := poison.New()
+	table.Crashed(start, "t1", []poison.Print{"bad", "good"})
+	is.True(table.Suspect(start, "bad") && table.Suspect(start, "good"))
+	table.Cleared("good")
+	table.Crashed(start, "t2", []poison.Print{"bad", "other"})
+	is.True(table.Banned(start, "bad"))
+	is.True(!table.Banned(start, "good"))
+	is.True(!table.Suspect(start, "other"))
+	is.True(!table.Banned(start.Add(2*time.Hour), "bad"))
+}
+
+func TestTheSameTargetCountsOnce(t *testing.T) {
+	is := is.New(t)
+	table := poison.New()
+	table.Crashed(start, "t1", []poison.Print{"p"})
+	is.Equal(len(table.Crashed(start, "t1", []poison.Print{"p"})), 0)
+	is.True(!table.Banned(start, "p"))
+}
+
+func TestBansSpread(t *testing.T) {
+	is := is.New(t)
+	one, two := poison.New(), poison.New()
+	one.Crashed(start, "t1", []poison.Print{"p"})
+	records := one.Crashed(start, "t2", []poison.Print{"p"})
+	is.True(two.Learn(start, records[0]))
+	is.True(two.Banned(start, "p"))
+	is.True(!two.Learn(start, records[0]))
+}
--- /dev/null
+++ b/internal/standin/measure/fleet.go
@@ -0,0 +1,302 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+	"chestnutshed.example/chestnutshed/internal/fleet/gossip"
+	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"chestnutshed.example/chestnutshed/internal/operate/access"
+	"chestnutshed.example/chestnutshed/internal/standin/process"
+	"chestnutshed.example/chestnutshed/internal/traffic/peers"
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+)
+
+const (
+	// watchTime is how long a fleet is watched.
+	watchTime = 10 * time.Second
+	// settleTime is how long it gets before.
+	settleTime = 5 * time.Second
+	// startTime bounds the start of a fleet.
+	startTime = 2 * time.Minute
+	// ticksPerSecond is the unit of processor time in /proc.
+	ticksPerSecond = 100
+	// zones is the number of availability zones that nodes are spread over.
+	zones = 3
+	// fullMembers is the number of members of the fleet designed for.
+	fullMembers = 4800
+	// batch is the number of members told in one message.
+	batch = 400
+)
+
+// usage is what one process has used so far.
+type usage struct {
+	cpu time.Duration
+	rss int64
+}
+
+// usageOf reads a process's use from /proc.
+func usageOf(pid int) (usage, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return usage{}, fmt.Errorf("read processor time: %w", err)
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	if len(fields) < 22 {
+		return usage{}, trace.BadParameter("/proc/%d/stat has %d fields", pid, len(fields))
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	return usage{
+		cpu: time.Duration(user+system) * time.Second / ticksPerSecond,
+		rss: pages * int64(os.Getpagesize()),
+	}, nil
+}
+
+// Fleet runs fleets of real nodes without load and prints what each costs and
+// how often it calls the platform.
+func Fleet(ctx context.Context, out io.Writer, sizes []int) error {
+	dir, err := os.MkdirTemp("", "measure")
+	if err != nil {
+		return fmt.Errorf("make folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bins, err := process.Build(dir)
+	if err != nil {
+		return err
+	}
+	for _, n := range sizes {
+		if err := oneFleet(ctx, out, bins, dir, n); err != nil {
+			return fmt.Errorf("fleet of %d: %w", n, err)
+		}
+	}
+	return nil
+}
+
+func oneFleet(ctx context.Context, out io.Writer, bins process.Binaries, dir string, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	b := process.New(bins, dir)
+	defer b.Close()
+	if err := b.StartPlatform(ctx); err != nil {
+		return err
+	}
+	if err := shipManifest(b, dir, 0); err != nil {
+		return err
+	}
+	quiet := func(s settings.Settings) settings.Settings {
+		s.Level = "warning"
+		return s
+	}
+	for i := range n {
+		if _, err := b.AddMember(fmt.Sprintf("zone-%d", i%zones), "", []process.Option{quiet}); err != nil {
+			return err
+		}
+	}
+	client, err := access.New(settings.TLS{})
+	if err != nil {
+		return err
+	}
+	known := func() bool {
+		f := client.Fleet(ctx, operators(b), false)
+		for _, s := range f.States {
+			if s.Config.Head == nil || len(s.Gossip.Members) < n {
+				return false
+			}
+		}
+		return len(f.States) == n
+	}
+	if err := process.Until(ctx, known); err != nil {
+		return err
+	}
+	pause(ctx, settleTime)
+	return watch(ctx, out, b, client, n)
+}
+
+func operators(b *process.Bench) []string {
+	var all []string
+	for _, m := range b.Members {
+		all = append(all, m.Operators())
+	}
+	return all
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// watch prints the mean use of the nodes of a bench over a while.
+func watch(ctx context.Context, out io.Writer, b *process.Bench, client *access.Client, n int) error {
+	callsBefore, err := b.Counts()
+	if err != nil {
+		return err
+	}
+	before, err := sum(ctx, b, client)
+	if err != nil {
+		return err
+	}
+	pause(ctx, watchTime)
+	after, err := sum(ctx, b, client)
+	if err != nil {
+		return err
+	}
+	calls, err := b.Counts()
+	if err != nil {
+		return err
+	}
+	count := float64(len(b.Members)) * watchTime.Seconds()
+	_, err = fmt.Fprintf(out, "%5d nodes: cpu %.2f %% of a core, memory %.1f MB, control %.0f B/s in %.2f messages/s a node; platform %.2f reads/s, %.2f writes/s, %.2f watches/s in all\n",
+		n, 100*(after.cpu-before.cpu).Seconds()/count, float64(after.rss)/float64(len(b.Members))/1e6,
+		float64(after.bytes-before.bytes)/count, float64(after.sent-before.sent)/count,
+		float64(calls.Reads-callsBefore.Reads)/watchTime.Seconds(),
+		float64(calls.Writes-callsBefore.Writes)/watchTime.Seconds(),
+		float64(calls.Watches-callsBefore.Watches)/watchTime.Seconds())
+	return err
+}
+
+// total is the use of all nodes of a bench.
+type total struct {
+	usage
+	sent, bytes uint64
+}
+
+func sum(ctx context.Context, b *process.Bench, client *access.Client) (total, error) {
+	var t total
+	for _, m := range b.Members {
+		s, err := client.State(ctx, m.Operators())
+		if err != nil {
+			return t, err
+		}
+		u, err := usageOf(m.Node.PID())
+		if err != nil {
+			return t, err
+		}
+		t.cpu += u.cpu
+		t.rss += u.rss
+		t.sent += s.Gossip.Sent
+		t.bytes += s.Gossip.Bytes
+	}
+	return t, nil
+}
+
+// shipManifest ships a manifest of at least some bytes.
+func shipManifest(b *process.Bench, dir string, size int) error {
+	m := manifest.Manifest{
+		Name:          "measure",
+		Organisations: []manifest.Organisation{{Name: "acme", Rate: 1000, Burst: 1000, Keys: []string{manifest.Digest("example-acme")}}},
+		Services:      []manifest.Service{{Name: "front"}},
+	}
+	for i := 0; ; i++ {
+		m.Routes = append(m.Routes, manifest.Route{
+			Name: fmt.Sprintf("route-%d", i), Method: "GET", Path: fmt.Sprintf("/area-%d/things/{id}/details", i), Service: "front", Idempotent: true,
+		})
+		if i%500 != 0 {
+			continue
+		}
+		text, err := json.Marshal(m)
+		if err != nil {
+			return fmt.Errorf("encode manifest: %w", err)
+		}
+		if len(text) < size {
+			continue
+		}
+		path := filepath.Join(dir, "manifest.json")
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			return fmt.Errorf("write manifest: %w", err)
+		}
+		if answer, code := b.Run("ship", "--reviewed", "0", "--by", "measure", path); code != 0 {
+			return trace.BadParameter("ship: %s", answer)
+		}
+		return nil
+	}
+}
+
+// Full runs one real node that is told of as many members as the fleet designed
+// for has, with a manifest of nearly the greatest size, and prints what it
+// costs.
+func Full(ctx context.Context, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "measure")
+	if err != nil {
+		return fmt.Errorf("make folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bins, err := process.Build(dir)
+	if err != nil {
+		return err
+	}
+	b := process.New(bins, dir)
+	defer b.Close()
+	if err := b.StartPlatform(ctx); err != nil {
+		return err
+	}
+	if err := shipManifest(b, dir, manifest.MaxSize*9/10); err != nil {
+		return err
+	}
+	m, err := b.AddMember("zone-0", "", nil)
+	if err != nil {
+		return err
+	}
+	client, err := access.New(settings.TLS{})
+	if err != nil {
+		return err
+	}
+	err = process.Until(ctx, func() bool {
+		s, err := client.State(ctx, m.Operators())
+		return err == nil && s.Config.Head != nil
+	})
+	if err != nil {
+		return err
+	}
+	if err := tellMembers(ctx, m); err != nil {
+		return err
+	}
+	pause(ctx, settleTime)
+	return watch(ctx, out, b, client, fullMembers)
+}
+
+// tellMembers tells a node of members that aren't there. Their addresses belong
+// to no process; the node probes one of them a second.
+func tellMembers(ctx context.Context, m *process.Member) error {
+	client, err := peers.NewClient(m.Settings.WithSecret([]byte(process.Secret)))
+	if err != nil {
+		return fmt.Errorf("make client: %w", err)
+	}
+	now := time.Now().UnixNano()
+	for from := 0; from < fullMembers; from += batch {
+		var message gossip.Message
+		for i := range batch {
+			n := from + i
+			message.Members = append(message.Members, member.Record{
+				ID:       uuid.NewString(),
+				Address:  fmt.Sprintf("127.1.%d.%d:9", n/200, n%200+1),
+				Zone:     fmt.Sprintf("zone-%d", n%16),
+				Region:   fmt.Sprintf("region-%d", n%7),
+				Started:  now,
+				Service:  fmt.Sprintf("service-%d", n%190),
+				Slots:    100,
+				Instance: uuid.NewString(),
+			})
+		}
+		var answer gossip.Message
+		if err := client.Ask(ctx, m.Settings.Peers.Address, "/peer/gossip", message, &answer); err != nil {
+			return fmt.Errorf("tell members: %w", err)
+		}
+	}
+	return nil
+}
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -36,6 +36,8 @@
 	Settings settings.Settings
 	Node     *node.Node
 	Target   *target.Target
+	// TargetAddress is where the target takes requests.
+	TargetAddress string
 }
 
 // Rig is a running deployment.
@@ -159,7 +161,7 @@
 	})
 	r.group.Go(func() error { return n.Run(ctx) })
 	r.group.Go(func() error { return t.Run(ctx) })
-	r.Members = append(r.Members, Member{s.Name, conf, n, t})
+	r.Members = append(r.Members, Member{s.Name, conf, n, t, ports[4]})
 	return nil
 }
 
--- a/internal/traffic/entry/tally.go
+++ b/internal/traffic/entry/tally.go
@@ -40,12 +40,7 @@
 		t.Whole++
 		return
 	}
-	at := slices.IndexFunc(t.Refused, func(x Refused) bool { return x.Reason == r.Refusal.Reason })
-	if at < 0 {
-		t.Refused = append(t.Refused, Refused{Reason: r.Refusal.Reason})
-		at = len(t.Refused) - 1
-	}
-	t.Refused[at].Count++
+	t.refused(r.Refusal.Reason).Count++
 }
 
 // tallies returns all counts in order. The caller holds mu.
@@ -56,8 +51,68 @@
 		c.Refused = slices.Clone(t.Refused)
 		list = append(list, c)
 	}
+	sortTallies(list)
+	return list
+}
+
+// Tallies returns what became of the roots at this node.
+func (s *Service) Tallies() []Tally {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tallies()
+}
+
+// Add returns the sums of two lists of tallies, in order.
+func Add(a, b []Tally) []Tally { return combine(a, b, func(x, y uint64) uint64 { return x + y }) }
+
+// Subtract returns what a has beyond b. Counts that b has more of are 0: the
+// nodes that counted them have died.
+func Subtract(a, b []Tally) []Tally {
+	return combine(a, b, func(x, y uint64) uint64 { return x - min(x, y) })
+}
+
+func combine(a, b []Tally, join func(x, y uint64) uint64) []Tally {
+	sums := map[tallyKey]*Tally{}
+	of := func(t Tally) *Tally {
+		key := tallyKey{t.Organisation, t.Route}
+		if sums[key] == nil {
+			sums[key] = &Tally{Organisation: t.Organisation, Route: t.Route}
+		}
+		return sums[key]
+	}
+	for _, t := range a {
+		sum := of(t)
+		sum.Whole = t.Whole
+		sum.Refused = slices.Clone(t.Refused)
+	}
+	for _, t := range b {
+		sum := of(t)
+		sum.Whole = join(sum.Whole, t.Whole)
+		for _, r := range t.Refused {
+			x := sum.refused(r.Reason)
+			x.Count = join(x.Count, r.Count)
+		}
+	}
+	list := make([]Tally, 0, len(sums))
+	for _, t := range sums {
+		list = append(list, *t)
+	}
+	sortTallies(list)
+	return list
+}
+
+// refused is the count of a reason, 0 at first.
+func (t *Tally) refused(reason failure.Reason) *Refused {
+	at := slices.IndexFunc(t.Refused, func(x Refused) bool { return x.Reason == reason })
+	if at < 0 {
+		t.Refused = append(t.Refused, Refused{Reason: reason})
+		at = len(t.Refused) - 1
+	}
+	return &t.Refused[at]
+}
+
+func sortTallies(list []Tally) {
 	slices.SortFunc(list, func(a, b Tally) int {
 		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Route, b.Route))
 	})
-	return list
 }
--- a/internal/traffic/peers/client.go
+++ b/internal/traffic/peers/client.go
@@ -13,6 +13,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +35,9 @@
 	idleTime = 30 * time.Second
 	// maxControl bounds the answer to a control message, in bytes.
 	maxControl = 16 << 20
+	// controlHeaders is about what HTTP adds to a control message and its
+	// answer, in bytes.
+	controlHeaders = 400
 	// maxPeers bounds the peers that connections are kept for.
 	maxPeers = 1024
 )
@@ -49,10 +53,18 @@
 	proof string
 	tls   *tls.Config
 
+	// messages and bytes count control messages and their answers.
+	messages atomic.Uint64
+	bytes    atomic.Uint64
+
 	mu    sync.Mutex
 	peers map[string]*peer
 }
 
+// Control is the number of control messages sent so far, and the bytes of
+// their bodies and answers.
+func (c *Client) Control() (messages, bytes uint64) { return c.messages.Load(), c.bytes.Load() }
+
 type peer struct {
 	transport *http.Transport
 	used      time.Time
@@ -229,7 +241,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return trace.ConnectionProblem(nil, "peer answered %s", resp.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControl)).Decode(reply); err != nil {
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxControl))
+	c.messages.Add(1)
+	c.bytes.Add(uint64(len(text) + len(answer) + controlHeaders))
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if err := json.Unmarshal(answer, reply); err != nil {
 		return fmt.Errorf("decode answer: %w", err)
 	}
 	return nil
