--- a/internal/policy/bucket/bucket_test.go
+++ b/internal/policy/bucket/bucket_test.go
@@ -68,10 +68,11 @@
 		holders := []*holder{{part: bucket.NewFullPart(now, terms), leased: now, sole: true}}
 		purses := []*bucket.Purse{bucket.NewPurse(), bucket.NewPurse(), bucket.NewPurse()}
 		var spent []time.Time
-		for range 150 {
-			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+		for range 200 {
+			pause := rapid.SampledFrom([]int{0, 0, 0, 10, 300, 1500, 1900}).Draw(t, "ms")
+			now = now.Add(time.Duration(pause) * time.Millisecond)
 			n := rapid.IntRange(0, len(purses)-1).Draw(t, "purse")
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 14).Draw(t, "step") {
 			case 0:
 				newest := holders[len(holders)-1]
 				if len(holders) == 1 || newest.sole {
@@ -89,18 +90,18 @@
 					holders = holders[1:]
 					holders[0].sole = true
 				}
-			case 3, 4, 5:
+			case 3, 4, 5, 6, 7, 8:
 				h := holders[rapid.IntRange(0, len(holders)-1).Draw(t, "holder")]
 				asked := now
-				now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "way")) * time.Millisecond)
+				now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 1, 200}).Draw(t, "way")) * time.Millisecond)
 				h.part.SetClaim(now, h.claim(now))
 				source := bucket.Source{Epoch: h.epoch}
-				granted := h.part.Draw(now, purses[n].Ask(now, fmt.Sprint(n), source, rapid.IntRange(1, 40).Draw(t, "want")))
+				granted := h.part.Draw(now, purses[n].Ask(now, fmt.Sprint(n), source, rapid.SampledFrom([]int{1, 20, 200}).Draw(t, "want")))
 				if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
 					purses[n].Add(asked, source, granted)
 				}
 			default:
-				for range rapid.IntRange(1, 30).Draw(t, "requests") {
+				for range rapid.SampledFrom([]int{1, 10, 200}).Draw(t, "requests") {
 					if purses[n].Spend(now) {
 						spent = append(spent, now)
 					}
