The rate's bound holds against adversarial spending

Cause of what TestBoundProperty found once it spent all that it could at one moment, each seen red: the level was refilled over an expired grant's life as if it had left room; tokens given back after their expiry filled a part that had filled up since; spent tokens of an expired grant were taken off newer ones; a successor that became sole did not count what the lapsed holder had granted. Now the level accrues piece by piece up to each expiry, expired tokens are not given back, reports name their grant, and Inherit counts the rest.

--- a/internal/fleet/part/held.go
+++ b/internal/fleet/part/held.go
@@ -75,8 +75,14 @@
 	return bucket.Whole
 }
 
+// becomeSole notes that the former holder has provably stopped.
+func (h *held) becomeSole(now time.Time) {
+	h.full = true
+	h.bucket.Inherit(now)
+}
+
 // draw grants tokens at now.
-func (h *held) draw(now time.Time, terms bucket.Terms, ask bucket.Ask) int {
+func (h *held) draw(now time.Time, terms bucket.Terms, ask bucket.Ask) bucket.Grant {
 	h.bucket.SetTerms(now, terms)
 	h.bucket.SetClaim(now, h.claimAt(now))
 	return h.bucket.Draw(now, ask)
--- a/internal/fleet/part/keep.go
+++ b/internal/fleet/part/keep.go
@@ -167,7 +167,7 @@
 func (s *Service) keepHeld(ctx context.Context, now time.Time, id claim.Part, h *held) error {
 	s.mu.Lock()
 	if !h.full && s.provenGone(h.former) {
-		h.full = true
+		h.becomeSole(now)
 	}
 	due := now.Sub(h.renewed) >= renewEvery
 	record, version := h.record, h.version
--- a/internal/fleet/part/part.go
+++ b/internal/fleet/part/part.go
@@ -247,9 +247,9 @@
 
 // partGrant is the answer to a partAsk.
 type partGrant struct {
-	Part   claim.Part `json:"part"`
-	Epoch  uint64     `json:"epoch"`
-	Tokens int        `json:"tokens"`
+	Part  claim.Part `json:"part"`
+	Epoch uint64     `json:"epoch"`
+	bucket.Grant
 }
 
 type drawRequest struct {
@@ -282,7 +282,7 @@
 		if want == 0 {
 			continue
 		}
-		s.planOne(now, batches, org, p, want, self)
+		s.planOne(batches, org, p, want, self)
 	}
 	for address := range batches {
 		s.asking[address] = true
@@ -290,7 +290,7 @@
 	return batches
 }
 
-func (s *Service) planOne(now time.Time, batches map[string][]partAsk, org *manifest.Organisation, p *purse, want int, self string) {
+func (s *Service) planOne(batches map[string][]partAsk, org *manifest.Organisation, p *purse, want int, self string) {
 	each := (want + org.Parts - 1) / org.Parts
 	for n := range org.Parts {
 		id := claim.Part{Organisation: org.Name, Number: n}
@@ -299,7 +299,7 @@
 			continue
 		}
 		source := bucket.Source{Part: n, Epoch: holder.Epoch}
-		ask := partAsk{Part: id, Epoch: holder.Epoch, Ask: p.Ask(now, self, source, each)}
+		ask := partAsk{Part: id, Epoch: holder.Epoch, Ask: p.Ask(self, source, each)}
 		batches[holder.Address] = append(batches[holder.Address], ask)
 	}
 }
@@ -333,7 +333,7 @@
 			p.dryAt = now
 			continue
 		}
-		p.Add(asked, bucket.Source{Part: g.Part.Number, Epoch: g.Epoch}, g.Tokens)
+		p.Add(asked, bucket.Source{Part: g.Part.Number, Epoch: g.Epoch}, g.Grant)
 		close(p.filled)
 		p.filled = make(chan struct{})
 	}
@@ -366,8 +366,8 @@
 		if !ok || org == nil || a.Part.Number >= org.Parts || a.Epoch != h.record.Epoch {
 			continue
 		}
-		n := h.draw(now, termsOf(org), a.Ask)
-		answer.Grants = append(answer.Grants, partGrant{a.Part, a.Epoch, n})
+		g := h.draw(now, termsOf(org), a.Ask)
+		answer.Grants = append(answer.Grants, partGrant{a.Part, a.Epoch, g})
 	}
 	return answer
 }
@@ -488,8 +488,7 @@
 	}
 	if r.Holder == h.record.Holder {
 		if r.Yielded && r.Epoch == h.record.Epoch && !h.full {
-			h.full = true
-			h.bucket.SetClaim(now, h.claimAt(now))
+			h.becomeSole(now)
 		}
 		return r, false
 	}
--- a/internal/policy/bucket/bucket.go
+++ b/internal/policy/bucket/bucket.go
@@ -8,6 +8,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -68,6 +69,7 @@
 }
 
 type grant struct {
+	id     uint64
 	drawer string
 	tokens float64
 	until  time.Time
@@ -83,6 +85,7 @@
 	level  float64
 	at     time.Time
 	grants []grant
+	lastID uint64
 }
 
 // NewPart returns the part of a successor. It starts empty, and what the
@@ -90,7 +93,8 @@
 // known only if the former holder was no recent successor itself: one must have
 // held the part for TokenLife before another follows.
 func NewPart(now time.Time, terms Terms, claim Claim) *Part {
-	former := grant{tokens: terms.Burst * claim.factor() * outShare, until: now.Add(TokenLife), former: true}
+	left := max(terms.Burst*claim.factor()*outShare, 1)
+	former := grant{tokens: left, until: now.Add(TokenLife), former: true}
 	return &Part{terms: terms, claim: claim, at: now, grants: []grant{former}}
 }
 
@@ -113,23 +117,50 @@
 	p.cap()
 }
 
+// Inherit notes that the former holder has provably stopped. What it granted
+// after its lease lapsed may still be spent for the life of a token.
+func (p *Part) Inherit(now time.Time) {
+	p.refill(now)
+	left := p.terms.Burst * lapsedShare * outShare
+	p.grants = append(p.grants, grant{tokens: max(left, 1), until: now.Add(TokenLife), former: true})
+	p.cap()
+}
+
 // Claim is the present claim.
 func (p *Part) Claim() Claim { return p.claim }
 
 // refill adds what the time since the last call brought. Expired grants count
-// as spent: only the drawer knows whether they were.
+// as spent at their expiry: only the drawer knows whether they were. Up to then
+// they leave no room to fill.
 func (p *Part) refill(now time.Time) {
-	kept := p.grants[:0]
-	for _, g := range p.grants {
-		if now.Before(g.until) && g.tokens > 0 {
-			kept = append(kept, g)
+	for {
+		next := p.firstExpiry()
+		if next < 0 || p.grants[next].until.After(now) {
+			break
+		}
+		p.accrue(p.grants[next].until)
+		p.grants = slices.Delete(p.grants, next, next+1)
+	}
+	p.accrue(now)
+	p.grants = slices.DeleteFunc(p.grants, func(g grant) bool { return g.tokens <= 0 })
+}
+
+// firstExpiry is the index of the grant that expires first, or -1.
+func (p *Part) firstExpiry() int {
+	first := -1
+	for i, g := range p.grants {
+		if first < 0 || g.until.Before(p.grants[first].until) {
+			first = i
 		}
 	}
-	p.grants = kept
-	elapsed := now.Sub(p.at).Seconds()
-	if elapsed > 0 {
+	return first
+}
+
+// accrue fills the level at the rate until a time.
+func (p *Part) accrue(until time.Time) {
+	if elapsed := until.Sub(p.at).Seconds(); elapsed > 0 {
 		p.level += elapsed * p.terms.Rate * p.claim.factor()
-		p.at = now
+		p.at = until
 	}
 	p.cap()
 }
@@ -178,41 +209,49 @@
 	Drawer string `json:"drawer"`
 	// Want is the number of tokens asked for.
 	Want int `json:"want"`
-	// Spent and Unspent are how many tokens of earlier grants were used, and
-	// how many ran out and never will be. Each is reported once: a report
-	// whose answer is lost is not sent again.
-	Spent   int `json:"spent,omitempty"`
-	Unspent int `json:"unspent,omitempty"`
+	// Spent is how many tokens of earlier grants were used. Each is reported
+	// once: a report whose answer is lost is not sent again. Tokens that ran out
+	// are not given back: the part may have filled up since.
+	Spent []Used `json:"spent,omitempty"`
+}
+
+// Used is a number of tokens used of one grant.
+type Used struct {
+	Grant  uint64 `json:"g"`
+	Tokens int    `json:"n"`
+}
+
+// Grant is the answer to an Ask.
+type Grant struct {
+	ID     uint64 `json:"g"`
+	Tokens int    `json:"n"`
 }
 
 // Draw settles the drawer's earlier grants and grants whole tokens, at most as
 // many as it wants.
-func (p *Part) Draw(now time.Time, ask Ask) int {
-	p.settle(ask.Drawer, float64(ask.Spent))
-	p.settle(ask.Drawer, float64(ask.Unspent))
+func (p *Part) Draw(now time.Time, ask Ask) Grant {
 	p.refill(now)
-	p.level += float64(ask.Unspent)
-	p.cap()
+	p.settle(ask.Spent)
 	room := max(1, p.terms.Burst*p.claim.factor()*outShare) - p.ownOutstanding()
 	n := min(ask.Want, int(math.Floor(min(p.level, room)+1e-9)))
 	if n <= 0 {
-		return 0
+		return Grant{}
 	}
 	p.level -= float64(n)
-	p.grants = append(p.grants, grant{drawer: ask.Drawer, tokens: float64(n), until: now.Add(TokenLife)})
-	return n
+	p.lastID++
+	p.grants = append(p.grants, grant{id: p.lastID, drawer: ask.Drawer, tokens: float64(n), until: now.Add(TokenLife)})
+	return Grant{ID: p.lastID, Tokens: n}
 }
 
-// settle takes used tokens off a drawer's oldest grants.
-func (p *Part) settle(drawer string, spent float64) {
-	for i := range p.grants {
-		g := &p.grants[i]
-		if g.drawer != drawer {
-			continue
+// settle takes used tokens off their grants. Those of an expired grant count as
+// spent already.
+func (p *Part) settle(spent []Used) {
+	for _, u := range spent {
+		for i := range p.grants {
+			if g := &p.grants[i]; g.id == u.Grant && !g.former {
+				g.tokens = max(0, g.tokens-float64(u.Tokens))
+			}
 		}
-		used := min(g.tokens, spent)
-		g.tokens -= used
-		spent -= used
 	}
 }
 
--- a/internal/policy/bucket/bucket_test.go
+++ b/internal/policy/bucket/bucket_test.go
@@ -16,8 +16,9 @@
 // as spent counts as outstanding.
 func ExamplePart_Draw() {
 	p := bucket.NewFullPart(start, bucket.Terms{Rate: 10, Burst: 100})
-	fmt.Println(p.Draw(start, bucket.Ask{Drawer: "n", Want: 80}))
-	fmt.Println(p.Draw(start, bucket.Ask{Drawer: "n", Want: 80, Spent: 20}))
+	g := p.Draw(start, bucket.Ask{Drawer: "n", Want: 80})
+	fmt.Println(g.Tokens)
+	fmt.Println(p.Draw(start, bucket.Ask{Drawer: "n", Want: 80, Spent: []bucket.Used{{Grant: g.ID, Tokens: 20}}}).Tokens)
 	// Output:
 	// 50
 	// 20
@@ -27,12 +28,11 @@
 	is := is.New(t)
 	p := bucket.NewPurse()
 	is.True(!p.Spend(start))
-	p.Add(start, bucket.Source{}, 2)
+	p.Add(start, bucket.Source{}, bucket.Grant{ID: 7, Tokens: 2})
 	is.True(p.Spend(start))
 	is.True(!p.Spend(start.Add(bucket.TokenLife))) // expired
-	ask := p.Ask(start.Add(bucket.TokenLife), "n", bucket.Source{}, 5)
-	is.Equal(ask, bucket.Ask{Drawer: "n", Want: 5, Spent: 1, Unspent: 1})
-	is.Equal(p.Ask(start.Add(bucket.TokenLife), "n", bucket.Source{}, 5).Spent, 0) // reported once
+	is.Equal(p.Ask("n", bucket.Source{}, 5), bucket.Ask{Drawer: "n", Want: 5, Spent: []bucket.Used{{Grant: 7, Tokens: 1}}})
+	is.Equal(len(p.Ask("n", bucket.Source{}, 5).Spent), 0) // reported once
 }
 
 // holder is one incarnation's view of the part in the property test.
@@ -68,11 +68,28 @@
 		holders := []*holder{{part: bucket.NewFullPart(now, terms), leased: now, sole: true}}
 		purses := []*bucket.Purse{bucket.NewPurse(), bucket.NewPurse(), bucket.NewPurse()}
 		var spent []time.Time
+		// attack spends all that can be had at one moment.
+		attack := func() {
+			for range 4 {
+				for n, p := range purses {
+					for p.Spend(now) {
+						spent = append(spent, now)
+					}
+					for _, h := range holders {
+						source := bucket.Source{Epoch: h.epoch}
+						h.part.SetClaim(now, h.claim(now))
+						p.Add(now, source, h.part.Draw(now, p.Ask(fmt.Sprint(n), source, 200)))
+					}
+				}
+			}
+		}
 		for range 200 {
 			pause := rapid.SampledFrom([]int{0, 0, 0, 10, 300, 1500, 1900}).Draw(t, "ms")
 			now = now.Add(time.Duration(pause) * time.Millisecond)
 			n := rapid.IntRange(0, len(purses)-1).Draw(t, "purse")
 			switch rapid.IntRange(0, 14).Draw(t, "step") {
+			case 14:
+				attack()
 			case 0:
 				newest := holders[len(holders)-1]
 				if len(holders) == 1 || newest.sole {
@@ -89,6 +106,7 @@
 				if len(holders) == 2 { // evidence that the former one has stopped
 					holders = holders[1:]
 					holders[0].sole = true
+					holders[0].part.Inherit(now)
 				}
 			case 3, 4, 5, 6, 7, 8:
 				h := holders[rapid.IntRange(0, len(holders)-1).Draw(t, "holder")]
@@ -96,7 +114,7 @@
 				now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 1, 200}).Draw(t, "way")) * time.Millisecond)
 				h.part.SetClaim(now, h.claim(now))
 				source := bucket.Source{Epoch: h.epoch}
-				granted := h.part.Draw(now, purses[n].Ask(now, fmt.Sprint(n), source, rapid.SampledFrom([]int{1, 20, 200}).Draw(t, "want")))
+				granted := h.part.Draw(now, purses[n].Ask(fmt.Sprint(n), source, rapid.SampledFrom([]int{1, 20, 200}).Draw(t, "want")))
 				if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
 					purses[n].Add(asked, source, granted)
 				}
--- a/internal/policy/bucket/purse.go
+++ b/internal/policy/bucket/purse.go
@@ -24,8 +24,7 @@
 // not safe for concurrent use.
 type Purse struct {
 	batches []batch
-	spent   map[Source]int
-	unspent map[Source]int
+	spent   map[Source][]Used
 	demand  float64
 	at      time.Time
 	dryTill time.Time
@@ -33,13 +32,14 @@
 
 type batch struct {
 	source Source
+	grant  uint64
 	tokens int
 	until  time.Time
 }
 
 // NewPurse returns an empty purse.
 func NewPurse() *Purse {
-	return &Purse{spent: map[Source]int{}, unspent: map[Source]int{}}
+	return &Purse{spent: map[Source][]Used{}}
 }
 
 // Spend uses one token. It reports false when there is none.
@@ -50,12 +50,22 @@
 			continue
 		}
 		b.tokens--
-		p.spent[b.source]++
+		p.spend(b.source, b.grant)
 		return true
 	}
 	return false
 }
 
+// spend counts one token of a grant for the next report.
+func (p *Purse) spend(source Source, id uint64) {
+	list := p.spent[source]
+	if n := len(list); n > 0 && list[n-1].Grant == id {
+		list[n-1].Tokens++
+		return
+	}
+	p.spent[source] = append(list, Used{Grant: id, Tokens: 1})
+}
+
 // Count adds one request to the demand estimate.
 func (p *Purse) Count(now time.Time) {
 	elapsed := now.Sub(p.at).Seconds()
@@ -66,15 +76,15 @@
 	p.at = now
 }
 
-// Want is the number of tokens to draw now: what the demand of the next half
-// second needs beyond what is held, and at least one for a request that waits.
+// Want is the number of tokens to draw now: one for each request that waits,
+// and what the demand of the next half second surely needs, beyond what is held.
 func (p *Purse) Want(now time.Time, waiting int) int {
 	if now.Before(p.dryTill) {
 		return 0
 	}
 	elapsed := now.Sub(p.at).Seconds()
 	demand := p.demand * math.Exp(-elapsed/demandMemory.Seconds())
-	need := waiting + int(math.Ceil(demand*ahead.Seconds()))
+	need := waiting + int(demand*ahead.Seconds())
 	return max(0, need-p.Held(now))
 }
 
@@ -83,33 +93,27 @@
 	held := 0
 	kept := p.batches[:0]
 	for _, b := range p.batches {
-		switch {
-		case b.tokens == 0:
-		case now.Before(b.until):
+		if b.tokens > 0 && now.Before(b.until) {
 			held += b.tokens
 			kept = append(kept, b)
-		default:
-			p.unspent[b.source] += b.tokens
 		}
 	}
 	p.batches = kept
 	return held
 }
 
-// Ask returns what to ask a source for. The counts in it are handed over: they
-// are not reported again, and not to another holder.
-func (p *Purse) Ask(now time.Time, drawer string, source Source, want int) Ask {
-	p.Held(now)
-	ask := Ask{Drawer: drawer, Want: want, Spent: p.spent[source], Unspent: p.unspent[source]}
+// Ask returns what to ask a source for. The count in it is handed over: it is
+// not reported again, and not to another holder.
+func (p *Purse) Ask(drawer string, source Source, want int) Ask {
+	ask := Ask{Drawer: drawer, Want: want, Spent: p.spent[source]}
 	delete(p.spent, source)
-	delete(p.unspent, source)
 	return ask
 }
 
 // Add puts drawn tokens into the purse. Asked is when the drawer began to ask.
-func (p *Purse) Add(asked time.Time, source Source, tokens int) {
-	if tokens > 0 {
-		p.batches = append(p.batches, batch{source, tokens, asked.Add(TokenLife)})
+func (p *Purse) Add(asked time.Time, source Source, g Grant) {
+	if g.Tokens > 0 {
+		p.batches = append(p.batches, batch{source, g.ID, g.Tokens, asked.Add(TokenLife)})
 	}
 }
 
--- a/internal/standin/experiment/model.go
+++ b/internal/standin/experiment/model.go
@@ -78,6 +78,7 @@
 	stages  [][]*server
 	all     []*server
 	buckets map[string]*bucket.Part
+	spent   map[string][]bucket.Used
 	table   *poison.Table
 	nextID  uint64
 	result  *collector
@@ -121,6 +122,7 @@
 		random:  rand.New(rand.NewPCG(seed, 7)),
 		now:     time.Unix(0, 0),
 		buckets: map[string]*bucket.Part{},
+		spent:   map[string][]bucket.Used{},
 		table:   poison.New(),
 		result:  newCollector(p),
 	}
--- a/internal/standin/experiment/traffic.go
+++ b/internal/standin/experiment/traffic.go
@@ -116,7 +116,7 @@
 	if w.poison {
 		r.print = "poison"
 	}
-	if s.variant.Rates && s.buckets[w.org.name].Draw(s.now, bucket.Ask{Drawer: "all", Want: 1, Spent: 1}) == 0 {
+	if s.variant.Rates && !s.spend(w.org.name) {
 		s.rootEnded(r, resend.Refused{Refusal: failure.New(failure.RateExceeded, "")})
 		return
 	}
@@ -134,6 +134,17 @@
 	})
 }
 
+// spend takes one token of an organisation and reports it as used at once.
+func (s *sim) spend(org string) bool {
+	g := s.buckets[org].Draw(s.now, bucket.Ask{Drawer: "all", Want: 1, Spent: s.spent[org]})
+	s.spent[org] = nil
+	if g.Tokens == 0 {
+		return false
+	}
+	s.spent[org] = []bucket.Used{{Grant: g.ID, Tokens: 1}}
+	return true
+}
+
 // rootEnded notes the first end of a root; a caller that got no answer tries
 // again.
 func (s *sim) rootEnded(r *root, result resend.Result) {
