--- a/cmd/standin/measure.go
+++ b/cmd/standin/measure.go
@@ -12,7 +12,7 @@
 
 const measureUsage = `Take the figures of docs/CAPACITY.md on this machine.
 
-WHAT is added (time added to a call), fleet (cost of idle nodes against the
+WHAT is added (time added to a call), calls (processor time of a call), fleet (cost of idle nodes against the
 size of the fleet, as processes), full (one node that knows 4,800 members and a
 manifest of nearly 1 MB), or all. Run it from the source folder: it builds the
 programs that it measures.`
@@ -32,6 +32,7 @@
 	defer stop()
 	run := map[string]func() error{
 		"added": func() error { return measure.Added(ctx, c.out) },
+		"calls": func() error { return measure.Calls(ctx, c.out) },
 		"fleet": func() error { return measure.Fleet(ctx, c.out, c.Sizes) },
 		"full":  func() error { return measure.Full(ctx, c.out) },
 	}
@@ -42,7 +43,7 @@
 		}
 		return do()
 	}
-	for _, name := range []string{"added", "fleet", "full"} {
+	for _, name := range []string{"added", "calls", "fleet", "full"} {
 		if err := run[name](); err != nil {
 			return err
 		}
--- a/internal/standin/measure/fleet.go
+++ b/internal/standin/measure/fleet.go
@@ -95,10 +95,6 @@
 	if err := shipManifest(b, dir, 0); err != nil {
 		return err
 	}
-	quiet := func(s settings.Settings) settings.Settings {
-		s.Level = "warning"
-		return s
-	}
 	for i := range n {
 		if _, err := b.AddMember(fmt.Sprintf("zone-%d", i%zones), "", []process.Option{quiet}); err != nil {
 			return err
@@ -124,6 +120,12 @@
 	return watch(ctx, out, b, client, n)
 }
 
+// quiet keeps a node from logging each call.
+func quiet(s settings.Settings) settings.Settings {
+	s.Level = "warning"
+	return s
+}
+
 func operators(b *process.Bench) []string {
 	var all []string
 	for _, m := range b.Members {
@@ -248,7 +250,7 @@
 	if err := shipManifest(b, dir, manifest.MaxSize*9/10); err != nil {
 		return err
 	}
-	m, err := b.AddMember("zone-0", "", nil)
+	m, err := b.AddMember("zone-0", "", []process.Option{quiet})
 	if err != nil {
 		return err
 	}
