--- /dev/null
+++ b/internal/config/current/current_test.go
@@ -0,0 +1,96 @@
+package current_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/current"
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/standin/rig"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(0, 0)
+
+// text is a valid manifest that differs by version.
+func text(version uint64) []byte {
+	return fmt.Appendf(nil, `{"name": "m", "organisations": [{"name": "a", "rate": %d, "burst": 1}]}`, version+1)
+}
+
+func head(version uint64, delta *current.Delta) current.Head {
+	return current.Head{Version: version, Ship: fmt.Sprint(version), Digest: current.Digest(text(version)), Delta: delta}
+}
+
+func ExampleDelta_Apply() {
+	from, to := []byte("rate 5, burst 9"), []byte("rate 50, burst 9")
+	d := current.NewDelta(from, to)
+	made, err := d.Apply(from, current.Digest(to))
+	fmt.Printf("%s %q %v\n", made, d.Middle, err)
+	// Output: rate 50, burst 9 "0" <nil>
+}
+
+func TestDeltaOfAnotherText(t *testing.T) {
+	is := is.New(t)
+	d := current.NewDelta(text(1), text(2))
+	_, err := d.Apply([]byte("{}"), current.Digest(text(2)))
+	is.True(err != nil)
+	_, err = current.Delta{Prefix: -1}.Apply(text(1), "")
+	is.True(err != nil)
+}
+
+// Whatever order versions come in, the one in force never goes down, and a node
+// that was at any version comes up to date by the news of another.
+func TestNeverGoesDown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := rig.Quiet().WithField("test", "current")
+		ahead, behind := current.New(nil, log), current.New(nil, log)
+		highest := uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			version := uint64(rapid.IntRange(1, 50).Draw(t, "version"))
+			delta := current.NewDelta(text(version-1), text(version))
+			accepted, err := ahead.Accept(start, head(version, delta), text(version))
+			if err != nil || accepted != (version > highest) {
+				t.Fatalf("version %d over %d: accepted %t, %v", version, highest, accepted, err)
+			}
+			highest = max(highest, version)
+			if ahead.Version() != highest {
+				t.Fatalf("version %d in force, %d was accepted", ahead.Version(), highest)
+			}
+			if rapid.Bool().Draw(t, "news") {
+				catchUp(t, behind, ahead)
+			}
+		}
+	})
+}
+
+// catchUp brings one node up to another's version by its news.
+func catchUp(t *rapid.T, behind, ahead *current.Service) {
+	news := ahead.NewsSince(behind.Version())
+	for _, h := range news.Heads {
+		made := news.Text
+		if made == nil {
+			var err error
+			if made, err = h.Delta.Apply(behind.Get().Text, h.Digest); err != nil {
+				t.Fatalf("news %d on %d: %v", h.Version, behind.Version(), err)
+			}
+		}
+		if _, err := behind.Accept(start, h, made); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if behind.Version() != ahead.Version() {
+		t.Fatalf("at %d after the news, want %d", behind.Version(), ahead.Version())
+	}
+}
+
+func TestWrongDigest(t *testing.T) {
+	is := is.New(t)
+	s := current.New(nil, rig.Quiet().WithField("test", "current"))
+	_, err := s.Accept(start, head(1, nil), text(2))
+	is.True(err != nil)
+	is.Equal(s.Version(), uint64(0))
+}
+
+var _ kernel.Service = (*current.Service)(nil)
--- a/internal/standin/experiment/traffic.go
+++ b/internal/standin/experiment/traffic.go
@@ -383,11 +383,12 @@
 // inner makes the call to the next stage.
 func (v *server) inner(w *work, repeats int) {
 	s, c := v.sim, w.call
+	w.below++
 	next := &call{root: c.root, stage: c.stage + 1, lent: w.extra.LendAll()}
 	v.intake.Called(s.now, c.route(), intake.Child{Service: s.plan.stages[next.stage].Name, Route: next.route()})
 	next.done = func(result resend.Result, unused, sends int) {
 		w.extra.Return(unused, next.lent)
-		w.below += sends
+		w.below += sends - 1
 		cost := max(1, sends-(next.lent-unused))
 		whole, ok := result.(resend.Whole)
 		switch {
--- a/internal/traffic/serve/tokens.go
+++ b/internal/traffic/serve/tokens.go
@@ -69,6 +69,8 @@
 	}
 	inner = &Inner{Done: make(chan struct{})}
 	p.inner[key] = inner
+	// A send under way counts, in case the target crashes meanwhile.
+	p.sends++
 	return inner, true, true
 }
 
@@ -99,7 +101,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failed = p.failed || e.Failed
-	p.sends += e.Sends
+	p.sends += e.Sends - 1
 	inner.Outcome, inner.notRun = e.Outcome, e.NotRun
 	inner.cost = max(1, e.Sends-e.Used)
 	close(inner.Done)
