One place runs subcommands and reads peers' calls; smaller files

Logic that stood twice (both mains, the reading of calls in serve and home) is one now; the drawer's side, the topics and the probes have files of their own.

--- /dev/null
+++ b/internal/fleet/gossip/members.go
@@ -0,0 +1,43 @@
+package gossip
+
+import (
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/fleet/member"
+)
+
+// memberTopic shares the table of members.
+type memberTopic Service
+
+// Learn implements Topic.
+func (t *memberTopic) Learn(now time.Time, m Message) Message {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var fresh Message
+	for _, r := range m.Members {
+		if news, ok := t.table.Learn(now, r); ok {
+			fresh.Members = append(fresh.Members, news)
+		}
+	}
+	return fresh
+}
+
+// Each implements Topic.
+func (t *memberTopic) Each(visit func(key string, hash uint64)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Each(func(r *member.Record) { visit(r.ID, r.Hash()) })
+}
+
+// Gather implements Topic.
+func (t *memberTopic) Gather(_ time.Time, match func(key string) bool) Message {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var m Message
+	t.table.Each(func(r *member.Record) {
+		if match(r.ID) {
+			m.Members = append(m.Members, *r)
+		}
+	})
+	return m
+}
--- a/internal/fleet/part/keep.go
+++ b/internal/fleet/part/keep.go
@@ -355,3 +355,13 @@
 	}
 	return p
 }
+
+// provenGone reports whether an incarnation runs no more, on positive evidence.
+func (s *Service) provenGone(id string) bool {
+	gone := false
+	s.gossip.Table(func(t *member.Table) {
+		r, ok := t.Get(id)
+		gone = ok && r.Proven
+	})
+	return gone
+}
--- a/internal/traffic/home/home.go
+++ b/internal/traffic/home/home.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -209,9 +208,8 @@
 
 // serveRun runs a request that another node has passed on to its home.
 func (s *Service) serveRun(w http.ResponseWriter, r *http.Request) {
-	call, err := wire.DecodeCall(r.Header)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	call, body, ok := peers.ReadCall(w, r)
+	if !ok {
 		return
 	}
 	t, err := ticket.Parse(call.Ticket)
@@ -219,11 +217,6 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEstate))
-	if err != nil {
-		http.Error(w, "the body was cut", http.StatusBadRequest)
-		return
-	}
 	m := sender.Message{Call: call, Header: wire.PassOn(r.Header), Body: body, Deadline: time.Now().Add(call.Left)}
 	var result sender.Result
 	peers.Alive(w, func() { result = s.runPassed(r.Context(), t, m) })
--- a/internal/traffic/peers/peers.go
+++ b/internal/traffic/peers/peers.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -77,6 +78,25 @@
 	}{s.settings.Peers.Address}
 }
 
+// maxRequest bounds a request between nodes, in bytes.
+const maxRequest = 64 << 20
+
+// ReadCall reads a call of another node with its body. When it reports false,
+// the request was malformed and is answered.
+func ReadCall(w http.ResponseWriter, r *http.Request) (call wire.Call, body []byte, ok bool) {
+	call, err := wire.DecodeCall(r.Header)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return call, nil, false
+	}
+	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
+	if err != nil {
+		http.Error(w, "the body was cut", http.StatusBadRequest)
+		return call, nil, false
+	}
+	return call, body, true
+}
+
 // signEvery is the time between signs of life while an answer is prepared.
 const signEvery = 400 * time.Millisecond
 
--- a/internal/traffic/serve/serve.go
+++ b/internal/traffic/serve/serve.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -31,9 +30,6 @@
 // Name of the service.
 const Name = "serve"
 
-// maxRequest bounds a request between nodes, in bytes.
-const maxRequest = 64 << 20
-
 // Downstream tells what calls of a route to a service meet.
 type Downstream interface {
 	Below(now time.Time, service, route string) []choice.Below
@@ -209,14 +205,8 @@
 
 // serveCall runs a call from another node.
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
-	call, err := wire.DecodeCall(r.Header)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
-	if err != nil {
-		http.Error(w, "the body was cut", http.StatusBadRequest)
+	call, body, ok := peers.ReadCall(w, r)
+	if !ok {
 		return
 	}
 	var reply peers.Reply
