--- a/internal/config/current/current.go
+++ b/internal/config/current/current.go
@@ -42,6 +42,9 @@
 	Since time.Time
 }
 
+// sourceName is the service that knows peers.
+const sourceName = "gossip"
+
 // Source is where texts come from besides the platform.
 type Source interface {
 	// FetchNews returns what a peer has in force beyond a version.
@@ -96,10 +99,6 @@
 	}
 }
 
-// SetSource names where texts come from besides the platform; call it before
-// the kernel starts the service.
-func (s *Service) SetSource(source Source) { s.source = source }
-
 // Get returns the configuration in force, or nil before the first one.
 func (s *Service) Get() *Config { return s.now.Load() }
 
@@ -164,6 +163,10 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	var err error
+	if s.source, err = kernel.Find[Source](k, sourceName); err != nil {
+		return fmt.Errorf("find where texts come from: %w", err)
+	}
 	k.Go(s.watch)
 	k.Go(s.follow)
 	return nil
--- a/internal/config/current/current_test.go
+++ b/internal/config/current/current_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,3 +95,21 @@
 }
 
 var _ kernel.Service = (*current.Service)(nil)
+
+// BenchmarkAccept puts a manifest of nearly the greatest size in force.
+func BenchmarkAccept(b *testing.B) {
+	var routes []string
+	for i := range 6000 {
+		routes = append(routes, fmt.Sprintf(`{"name": "route-%d", "method": "GET", "path": "/area-%d/things/{id}/details/{part}", "service": "s", "idempotent": true, "deadline": "2s"}`, i, i))
+	}
+	full := fmt.Appendf(nil, `{"name": "m", "services": [{"name": "s"}], "routes": [%s]}`, strings.Join(routes, ","))
+	s := current.New(nil, rig.Quiet().WithField("test", "current"))
+	b.SetBytes(int64(len(full)))
+	version := uint64(0)
+	for b.Loop() {
+		version++
+		if _, err := s.Accept(start, current.Head{Version: version, Ship: "x", Digest: current.Digest(full)}, full); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -93,8 +93,7 @@
 	n.rates = part.New(n.config, n.gossip, n.client, store, n.log.WithField("service", part.Name))
 	send := sender.New(s.Zone, n.client, n.gossip, n.config, set, n.log.WithField("service", sender.Name))
 	poison := serve.NewPoison(n.gossip)
-	n.serve = serve.New(n.gossip, poison, send, set, n.log.WithField("service", serve.Name))
-	send.SetLocal(n.serve)
+	n.serve = serve.New(n.gossip, poison, set, n.log.WithField("service", serve.Name))
 	n.home = home.New(id, n.gossip, send, n.client, n.log.WithField("service", home.Name))
 	n.entry = entry.New(s, entry.Parts{
 		Config: n.config,
@@ -110,8 +109,8 @@
 	n.rates.Routes(listener)
 	n.serve.Routes(listener)
 	n.home.Routes(listener)
-	counts := journal.New(store, s.Zone, n.entry)
-	operators := console.New(s, set, n.Drain, n.config.Version)
+	counts := journal.New(store, s.Zone)
+	operators := console.New(s, set, n.Drain)
 	order := []kernel.Service{listener, operators, n.config, n.gossip, n.rates, send, n.serve, n.home, counts, n.entry}
 	for _, service := range order {
 		if err := n.kernel.Register(service); err != nil {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -84,7 +84,6 @@
 		table:    member.New(time.Now(), self),
 	}
 	g.topics = []Topic{(*memberTopic)(g)}
-	config.SetSource(g)
 	return g
 }
 
--- a/internal/fleet/part/held.go
+++ b/internal/fleet/part/held.go
@@ -23,7 +23,7 @@
 // prefix starts the keys of the objects that name holders.
 const prefix = "part/"
 
-// object is the value of a part's object at the platform.
+// lease is the value of a part's object at the platform.
 type lease struct {
 	claim.Record
 	// Released is set by a holder that has stopped granting.
--- a/internal/operate/console/console.go
+++ b/internal/operate/console/console.go
@@ -39,7 +39,7 @@
 	set      *metrics.Set
 	started  time.Time
 	drain    func()
-	version  func() uint64
+	config   Versioned
 	kernel   *kernel.Kernel
 	server   *listen.Server
 }
@@ -49,10 +49,15 @@
 	Version uint64 `json:"version"`
 }
 
-// New returns the service. Drain begins a planned stop and returns at once;
-// version tells the configuration in force.
-func New(s settings.Settings, set *metrics.Set, drain func(), version func() uint64) *Service {
-	return &Service{settings: s, set: set, drain: drain, version: version, started: time.Now()}
+// Versioned knows the configuration in force.
+type Versioned interface{ Version() uint64 }
+
+// configName is the service that knows the configuration in force.
+const configName = "config"
+
+// New returns the service. Drain begins a planned stop and returns at once.
+func New(s settings.Settings, set *metrics.Set, drain func()) *Service {
+	return &Service{settings: s, set: set, drain: drain, started: time.Now()}
 }
 
 // Name implements kernel.Service.
@@ -61,6 +66,10 @@
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
 	s.kernel = k
+	var err error
+	if s.config, err = kernel.Find[Versioned](k, configName); err != nil {
+		return fmt.Errorf("find the configuration: %w", err)
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+StatePath, s.serveState)
 	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -68,13 +77,12 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET "+VersionPath, func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(Version{s.version()})
+		_ = json.NewEncoder(w).Encode(Version{s.config.Version()})
 	})
 	mux.HandleFunc("POST "+DrainPath, func(w http.ResponseWriter, _ *http.Request) {
 		s.drain()
 		w.WriteHeader(http.StatusAccepted)
 	})
-	var err error
 	if s.server, err = listen.Start(k, "operators", s.settings.Operators, mux); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
--- a/internal/operate/journal/journal.go
+++ b/internal/operate/journal/journal.go
@@ -46,15 +46,21 @@
 }
 
 // New returns the service of a node in an availability zone.
-func New(store *object.Client, zone string, counter Counter) *Service {
-	return &Service{store: store, zone: zone, counter: counter}
+func New(store *object.Client, zone string) *Service {
+	return &Service{store: store, zone: zone}
 }
 
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
 // Start implements kernel.Service.
-func (s *Service) Start(context.Context, *kernel.Kernel) error { return nil }
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	var err error
+	if s.counter, err = kernel.Find[Counter](k, entry.Name); err != nil {
+		return fmt.Errorf("find what counts: %w", err)
+	}
+	return nil
+}
 
 // State implements kernel.Service.
 func (s *Service) State() any { return struct{}{} }
--- a/internal/standin/process/forward.go
+++ b/internal/standin/process/forward.go
@@ -14,7 +14,6 @@
 	to       string
 
 	mu     sync.Mutex
-	cut    bool
 	silent map[net.Conn]bool
 }
 
@@ -41,17 +40,6 @@
 	}
 }
 
-// Cut makes all connections silent, new ones too, until it is switched off.
-// Those that were open stay silent.
-func (f *Forwarder) Cut(on bool) {
-	if on {
-		f.Silence()
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cut = on
-}
-
 // Close stops taking connections.
 func (f *Forwarder) Close() { _ = f.listener.Close() }
 
@@ -67,7 +55,7 @@
 			continue
 		}
 		f.mu.Lock()
-		f.silent[in] = f.cut
+		f.silent[in] = false
 		f.mu.Unlock()
 		go f.copy(in, out, in)
 		go f.copy(out, in, in)
--- a/internal/traffic/sender/sender.go
+++ b/internal/traffic/sender/sender.go
@@ -33,6 +33,9 @@
 // callPath is the path of calls between nodes.
 const callPath = "/peer/call"
 
+// localName is the service that runs calls for the node's own target.
+const localName = "serve"
+
 // forgetEvery is the time between clean-ups of what is known of candidates.
 const forgetEvery = 30 * time.Second
 
@@ -100,15 +103,15 @@
 	}
 }
 
-// SetLocal names what runs calls for the node's own target; call it before the
-// kernel starts.
-func (s *Service) SetLocal(l Local) { s.local = l }
-
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	var err error
+	if s.local, err = kernel.Find[Local](k, localName); err != nil {
+		return fmt.Errorf("find what runs calls here: %w", err)
+	}
 	k.Go(func(ctx context.Context) error {
 		ticker := time.NewTicker(forgetEvery)
 		defer ticker.Stop()
--- a/internal/traffic/serve/serve.go
+++ b/internal/traffic/serve/serve.go
@@ -30,6 +30,9 @@
 // Name of the service.
 const Name = "serve"
 
+// downstreamName is the service that knows services further down.
+const downstreamName = "sender"
+
 // Downstream tells what calls of a route to a service meet.
 type Downstream interface {
 	Below(now time.Time, service, route string) []choice.Below
@@ -61,21 +64,20 @@
 }
 
 // New returns the service without a target.
-func New(g *gossip.Service, p *Poison, d Downstream, set *metrics.Set, log *logrus.Entry) *Service {
+func New(g *gossip.Service, p *Poison, set *metrics.Set, log *logrus.Entry) *Service {
 	return &Service{
-		gossip:     g,
-		poison:     p,
-		downstream: d,
-		log:        log,
-		tokens:     newTokens(),
-		suspect:    make(chan struct{}, 1),
-		intake:     intake.New(gate.Standard()),
-		waiting:    map[uint64]chan *failure.Refusal{},
-		running:    map[uint64]poison.Print{},
-		whole:      set.NewCounter("chestnutshed_target_answers_total"),
-		failed:     set.NewCounter("chestnutshed_target_failures_total"),
-		latency:    set.NewSummary("chestnutshed_target_seconds"),
-		set:        set,
+		gossip:  g,
+		poison:  p,
+		log:     log,
+		tokens:  newTokens(),
+		suspect: make(chan struct{}, 1),
+		intake:  intake.New(gate.Standard()),
+		waiting: map[uint64]chan *failure.Refusal{},
+		running: map[uint64]poison.Print{},
+		whole:   set.NewCounter("chestnutshed_target_answers_total"),
+		failed:  set.NewCounter("chestnutshed_target_failures_total"),
+		latency: set.NewSummary("chestnutshed_target_seconds"),
+		set:     set,
 	}
 }
 
@@ -87,6 +89,10 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	var err error
+	if s.downstream, err = kernel.Find[Downstream](k, downstreamName); err != nil {
+		return fmt.Errorf("find what knows services further down: %w", err)
+	}
 	k.Go(s.tick)
 	return nil
 }
