Smaller probes: checksums as bytes, a version instead of the whole head

They are 4 bytes each now, and a probe names its configuration by the version alone. Calls are logged at the serving node under their root's identity.

--- a/internal/config/current/shipped.go
+++ b/internal/config/current/shipped.go
@@ -30,11 +30,11 @@
 	Version uint64 `json:"version"`
 	// Ship identifies the ship, so that its author recognizes it after a lost
 	// answer.
-	Ship string    `json:"ship"`
-	By   string    `json:"by"`
-	At   time.Time `json:"at"`
+	Ship string    `json:"ship,omitempty"`
+	By   string    `json:"by,omitempty"`
+	At   time.Time `json:"at,omitzero"`
 	// Digest is the SHA-256 of the text, in hex.
-	Digest string `json:"digest"`
+	Digest string `json:"digest,omitempty"`
 	// Delta makes the text from that of the version before; nil when the
 	// change is too large.
 	Delta *Delta `json:"delta,omitempty"`
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -201,7 +201,7 @@
 	g.Receive(now, m)
 	answer := g.hello()
 	answer.Members = g.viewOf(m.From)
-	if len(m.Sums) == buckets {
+	if len(m.Sums) == buckets*sumSize {
 		answer.Want = differing(m.Sums, sumsOf(g.topics))
 		answer = answer.WithRecords(gather(now, g.topics, answer.Want))
 	}
@@ -234,13 +234,12 @@
 	g.Tell(fresh)
 }
 
-// hello is a message with nothing but who sends it and its configuration.
+// hello is a message with nothing but who sends it and which configuration it
+// has; a receiver that is behind asks for the rest.
 func (g *Service) hello() Message {
 	m := Message{From: g.Self()}
 	if c := g.config.Get(); c != nil {
-		head := c.Head
-		head.Delta = nil
-		m.Head = &head
+		m.Head = &current.Head{Version: c.Head.Version}
 	}
 	return m
 }
--- a/internal/fleet/gossip/message.go
+++ b/internal/fleet/gossip/message.go
@@ -3,6 +3,8 @@
 package gossip
 
 import (
+	"bytes"
+	"encoding/binary"
 	"hash/fnv"
 	"time"
 
@@ -12,8 +14,12 @@
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
 )
 
-// buckets divide all records for comparison.
-const buckets = 256
+// buckets divide all records for comparison, and sumSize is the size of the
+// checksum of one, in bytes.
+const (
+	buckets = 256
+	sumSize = 4
+)
 
 // Message is what one node tells another.
 type Message struct {
@@ -23,8 +29,8 @@
 	Prints  []poison.Record `json:"prints,omitempty"`
 	// Head is the newest configuration that the sender has in force.
 	Head *current.Head `json:"head,omitempty"`
-	// Sums are checksums of the sender's records per bucket.
-	Sums []uint64 `json:"sums,omitempty"`
+	// Sums are checksums of the sender's records, sumSize bytes per bucket.
+	Sums []byte `json:"sums,omitempty"`
 	// Want lists buckets in which the sender's records differ.
 	Want []int `json:"want,omitempty"`
 }
@@ -62,19 +68,24 @@
 }
 
 // sumsOf returns the checksums of all topics' records.
-func sumsOf(topics []Topic) []uint64 {
-	sums := make([]uint64, buckets)
+func sumsOf(topics []Topic) []byte {
+	var sums [buckets]uint64
 	for _, t := range topics {
 		t.Each(func(key string, hash uint64) { sums[bucketOf(key)] ^= hash })
 	}
-	return sums
+	text := make([]byte, 0, buckets*sumSize)
+	for _, sum := range sums {
+		text = binary.BigEndian.AppendUint32(text, uint32(sum^sum>>32))
+	}
+	return text
 }
 
 // differing lists the buckets in which two checksums differ.
-func differing(a, b []uint64) []int {
+func differing(a, b []byte) []int {
 	var list []int
-	for i := range min(len(a), len(b)) {
-		if a[i] != b[i] {
+	for i := range buckets {
+		from, to := i*sumSize, (i+1)*sumSize
+		if !bytes.Equal(a[from:to], b[from:to]) {
 			list = append(list, i)
 		}
 	}
--- a/internal/traffic/serve/serve.go
+++ b/internal/traffic/serve/serve.go
@@ -244,6 +244,7 @@
 	o := wire.Outcome{ID: call.ID, Unused: call.Extra}
 	a, refusal := s.run(ctx, call, deadline, header, body, &o)
 	now := time.Now()
+	s.logCall(call, a, refusal, deadline.Sub(now))
 	s.mu.Lock()
 	o.Cut, o.Below = s.intake.Cut(), s.intake.Below(now, call.Route, s.down(now))
 	o.Load, o.Failing, o.Leaving = s.intake.Load(), s.intake.Failing(), s.draining
@@ -257,6 +258,19 @@
 	return peers.Reply{Outcome: o, Header: wire.PassOn(a.header), Body: a.body}
 }
 
+// logCall notes a call under its root's identity.
+func (s *Service) logCall(call wire.Call, a answer, refusal *failure.Refusal, left time.Duration) {
+	if !s.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	entry := s.log.WithField("root", call.Root).WithField("route", call.Route).WithField("depth", call.Depth).WithField("left", left)
+	if refusal != nil {
+		entry.WithField("reason", refusal.Reason).WithField("ran", refusal.Ran).Debug("call refused")
+		return
+	}
+	entry.WithField("status", a.status).Debug("call answered")
+}
+
 func (s *Service) run(ctx context.Context, call wire.Call, deadline time.Time, header http.Header, body []byte, o *wire.Outcome) (answer, *failure.Refusal) {
 	if s.poison.Banned(time.Now(), call.Print) {
 		return answer{}, failure.New(failure.Poison, "the request has crashed targets")
