Two ways of refusing for good, closed

Found by reading, each seen red in a new test: a cut that was low when the target went away never rose again, since no capacity is known without completions; a holding time learned while the target was slow refused every request of a route whose deadline had become shorter. The cut now rises while nothing is done or waits; the holding time shrinks with each refusal for it.

--- a/internal/policy/gate/gate.go
+++ b/internal/policy/gate/gate.go
@@ -22,6 +22,9 @@
 	minQueue = 8
 	// holdMemory is the weight of the newest sample in the mean holding time.
 	holdMemory = 0.05
+	// holdFade shrinks the mean holding time with each request refused for it,
+	// so that it is learned anew in the end.
+	holdFade = 0.99
 	// hopeless is the part of the mean holding time below which the rest of a
 	// deadline isn't enough to start.
 	hopeless = 0.5
@@ -160,6 +163,7 @@
 	g.account(now)
 	g.level.Offer(r.Score)
 	if g.tooLate(now, r.Route, r.Deadline) {
+		g.hold[r.Route] *= holdFade
 		return Refuse{Reason: failure.Deadline}, Moves{}
 	}
 	if g.rules.Levels && !g.level.Cut().Admits(r.Score, r.Depth) && !g.lessImportantWaits(r.Score) {
--- a/internal/policy/gate/gate_test.go
+++ b/internal/policy/gate/gate_test.go
@@ -164,3 +164,72 @@
 	}
 	is.Equal(g.Cut(), priority.Open)
 }
+
+// A cut that was low when the target went away opens again once it is back,
+// though nothing was done meanwhile.
+func TestCutOpensAfterTheTargetWasAway(t *testing.T) {
+	is := is.New(t)
+	g := gate.New(gate.Standard())
+	g.SetSlots(start, 2)
+	now, id := start, uint64(0)
+	late := start.Add(time.Hour)
+	running := []uint64{}
+	for range 100 {
+		now = now.Add(level.Tick)
+		for range 20 {
+			id++
+			if verdict, _ := g.Offer(now, request(id, manifest.Critical, float64(id%97), late)); verdict == (gate.Start{}) {
+				running = append(running, id)
+			}
+		}
+		if len(running) > 0 {
+			moves := g.Done(now, running[0], gate.Answered)
+			running = append(running[1:], moves.Started...)
+		}
+		g.Tick(now)
+	}
+	is.True(g.Cut() < 1) // part of the critical ones is refused
+	g.SetSlots(now, 0)
+	for _, r := range running {
+		g.Done(now, r, gate.Aborted)
+	}
+	for range 600 { // 30 seconds
+		now = now.Add(level.Tick)
+		g.Tick(now)
+	}
+	g.SetSlots(now, 2)
+	admitted := false
+	for range 200 { // 10 seconds
+		now = now.Add(level.Tick)
+		id++
+		verdict, _ := g.Offer(now, request(id, manifest.Low, 1, late))
+		admitted = admitted || verdict == (gate.Start{})
+		g.Tick(now)
+	}
+	is.True(admitted)
+}
+
+// A holding time learned while the target was slow doesn't refuse a route for
+// good when its deadline is shorter now.
+func TestHoldingTimeIsForgotten(t *testing.T) {
+	is := is.New(t)
+	g := gate.New(gate.Standard())
+	g.SetSlots(start, 1)
+	now, id := start, uint64(0)
+	for range 200 {
+		id++
+		g.Offer(now, request(id, manifest.Low, 1, now.Add(time.Minute)))
+		now = now.Add(5 * time.Second)
+		g.Done(now, id, gate.Answered)
+	}
+	admitted := false
+	for range 2000 {
+		id++
+		now = now.Add(time.Millisecond)
+		if verdict, _ := g.Offer(now, request(id, manifest.Low, 1, now.Add(time.Second))); verdict == (gate.Start{}) {
+			admitted = true
+			break
+		}
+	}
+	is.True(admitted)
+}
--- a/internal/policy/level/level.go
+++ b/internal/policy/level/level.go
@@ -109,10 +109,14 @@
 	l.done = l.done*keep + float64(load.Done)
 	l.busy = l.busy*keep + load.Busy*load.Elapsed.Seconds()
 	l.learnOffered(load.Elapsed, keep)
-	if l.Capacity() == 0 {
+	if l.Capacity() > 0 {
+		l.move(load)
 		return
 	}
-	l.move(load)
+	// Nothing was done lately: only letting something in tells what can be.
+	if load.Waiting == 0 {
+		l.cut = l.skipEmpty(l.cut.WithStep(maxRise))
+	}
 }
 
 func decay(elapsed, constant time.Duration) float64 {
