Test processes hold the range of their ports

Cause of a red TestBadBodies (161 requests at a target that had none): two test processes with the same process number modulo 20 shared a range of ports, and one's nodes reached the other's target. Ruled out: a fault of the entry; the requests were another test's. Each process now holds its range's first port.

--- /dev/null
+++ b/internal/standin/rig/ports_test.go
@@ -0,0 +1,27 @@
+package rig_test
+
+import (
+	"net"
+	"testing"
+
+	"chestnutshed.example/chestnutshed/internal/standin/rig"
+	"github.com/matryer/is"
+)
+
+// Two processes never get the same ports: the range of each is held.
+func TestPortsAreOfAHeldRange(t *testing.T) {
+	is := is.New(t)
+	first, err := rig.Ports(3)
+	is.NoErr(err)
+	second, err := rig.Ports(3)
+	is.NoErr(err)
+	seen := map[string]bool{}
+	for _, address := range append(first, second...) {
+		is.True(!seen[address])
+		seen[address] = true
+	}
+	held, err := rig.Held()
+	is.NoErr(err)
+	_, err = net.Listen("tcp", held)
+	is.True(err != nil)
+}
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,26 +54,46 @@
 }
 
 // The ports that rigs use lie below those that the system gives to outgoing
-// connections, and each process has a range of its own.
+// connections. Each process has a range of its own: the one whose first port it
+// could take and holds until its end.
 const (
 	firstPort  = 10000
 	portRange  = 1100
 	portRanges = 20
 )
 
-// portsGiven counts the ports tried by this process.
-var portsGiven atomic.Int64
+var (
+	// portsGiven counts the ports tried by this process.
+	portsGiven atomic.Int64
+	// ownRange finds the first port of the process's range.
+	ownRange = sync.OnceValues(takeRange)
+)
 
-// Ports returns n free loopback addresses, none of them twice in a process.
+// takeRange holds the first port of a free range; it is never given back.
+func takeRange() (int, error) {
+	for i := range portRanges {
+		base := firstPort + (os.Getpid()+i)%portRanges*portRange
+		if _, err := net.Listen("tcp", loopback(base)); err == nil {
+			return base, nil
+		}
+	}
+	return 0, trace.LimitExceeded("all %d ranges of ports are in use", portRanges)
+}
+
+func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
+// Ports returns n free loopback addresses.
 func Ports(n int) ([]string, error) {
-	base := firstPort + os.Getpid()%portRanges*portRange
+	base, err := ownRange()
+	if err != nil {
+		return nil, err
+	}
 	var addresses []string
 	for tries := 0; len(addresses) < n; tries++ {
 		if tries > portRange {
 			return nil, trace.LimitExceeded("no free ports from %d", base)
 		}
-		port := base + int(portsGiven.Add(1)-1)%portRange
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		address := loopback(base + 1 + int(portsGiven.Add(1)-1)%(portRange-1))
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -228,3 +249,12 @@
 	log.SetOutput(io.Discard)
 	return log
 }
+
+// Held is the address that keeps other processes out of this one's ports.
+func Held() (string, error) {
+	base, err := ownRange()
+	if err != nil {
+		return "", err
+	}
+	return loopback(base), nil
+}
