--- a/internal/standin/rig/ports_test.go
+++ b/internal/standin/rig/ports_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"testing"
 
 	"chestnutshed.example/chestnutshed/internal/standin/rig"
@@ -22,6 +23,7 @@
 	}
 	held, err := rig.Held()
 	is.NoErr(err)
+	runtime.GC()
 	_, err = net.Listen("tcp", held)
 	is.True(err != nil)
 }
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -65,6 +65,9 @@
 var (
 	// portsGiven counts the ports tried by this process.
 	portsGiven atomic.Int64
+	// guard keeps the range's first port taken; a listener that nothing refers to
+	// would be closed.
+	guard net.Listener
 	// ownRange finds the first port of the process's range.
 	ownRange = sync.OnceValues(takeRange)
 )
@@ -73,7 +76,8 @@
 func takeRange() (int, error) {
 	for i := range portRanges {
 		base := firstPort + (os.Getpid()+i)%portRanges*portRange
-		if _, err := net.Listen("tcp", loopback(base)); err == nil {
+		var err error
+		if guard, err = net.Listen("tcp", loopback(base)); err == nil {
 			return base, nil
 		}
 	}
