One fan-out over nodes, one start of a bench; an unused field removed

Reading the whole change again found the loop that asks many nodes written twice in access, the building and starting of a bench three times in measure, and member.Record.Config, which nothing set or read. Behaviour is unchanged, but for fleets of several sizes, which build the programs once for each.

--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -63,8 +63,6 @@
 	Proven bool `json:"proven,omitempty"`
 	// Heir is the node that keeps the tickets of one that left.
 	Heir string `json:"heir,omitempty"`
-	// Config is the configuration version when the record was last changed.
-	Config uint64 `json:"config,omitempty"`
 }
 
 // WithStatus returns a copy with another status.
--- a/internal/operate/access/access.go
+++ b/internal/operate/access/access.go
@@ -215,7 +215,7 @@
 				batch = append(batch, a)
 			}
 		}
-		states, missing := c.ask(ctx, batch)
+		states, missing := each(batch, func(address string) (State, error) { return c.State(ctx, address) })
 		f.States = append(f.States, states...)
 		f.Missing = append(f.Missing, missing...)
 		next = nil
@@ -251,45 +251,37 @@
 // InForce counts the nodes that have at least a version in force, and lists
 // those that don't or give no answer.
 func (c *Client) InForce(ctx context.Context, addresses []string, version uint64) (n int, behind []string) {
-	var mu sync.Mutex
-	var group errgroup.Group
-	group.SetLimit(parallel)
-	for _, address := range addresses {
-		group.Go(func() error {
-			v, err := c.Version(ctx, address)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil || v < version {
-				behind = append(behind, address)
-			} else {
-				n++
-			}
-			return nil
-		})
-	}
-	_ = group.Wait()
-	return n, behind
+	versions, behind := each(addresses, func(address string) (uint64, error) {
+		v, err := c.Version(ctx, address)
+		if err == nil && v < version {
+			err = trace.CompareFailed("version %d", v)
+		}
+		return v, err
+	})
+	return len(versions), behind
 }
 
-func (c *Client) ask(ctx context.Context, addresses []string) (states []State, missing []string) {
+// each asks several nodes at once. It returns what they said, and the addresses
+// of those that failed.
+func each[T any](addresses []string, ask func(address string) (T, error)) (said []T, failed []string) {
 	var mu sync.Mutex
 	var group errgroup.Group
 	group.SetLimit(parallel)
 	for _, address := range addresses {
 		group.Go(func() error {
-			s, err := c.State(ctx, address)
+			v, err := ask(address)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				missing = append(missing, address)
-				return nil
+				failed = append(failed, address)
+			} else {
+				said = append(said, v)
 			}
-			states = append(states, s)
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return states, missing
+	return said, failed
 }
 
 // Targets is the number of ready targets that the node knows.
--- a/internal/standin/measure/calls.go
+++ b/internal/standin/measure/calls.go
@@ -23,18 +23,12 @@
 // Calls measures the processor time that entry and serving node spend on a
 // call, as real processes, from the slope between rates.
 func Calls(ctx context.Context, out io.Writer) error {
-	dir, err := os.MkdirTemp("", "measure")
-	if err != nil {
-		return fmt.Errorf("make folder: %w", err)
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	bins, err := process.Build(dir)
+	b, closeBench, err := newBench()
 	if err != nil {
 		return err
 	}
-	b := process.New(bins, dir)
-	defer b.Close()
-	entry, serving, err := startPair(ctx, b, dir)
+	defer closeBench()
+	entry, serving, err := startPair(ctx, b)
 	if err != nil {
 		return err
 	}
@@ -61,7 +55,7 @@
 }
 
 // startPair starts an entry node and a node with a target.
-func startPair(ctx context.Context, b *process.Bench, dir string) (entry, serving *process.Member, err error) {
+func startPair(ctx context.Context, b *process.Bench) (entry, serving *process.Member, err error) {
 	ctx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
 	if err := b.StartPlatform(ctx); err != nil {
@@ -71,7 +65,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("read example: %w", err)
 	}
-	path := filepath.Join(dir, "small.jsonc")
+	path := filepath.Join(b.Dir, "small.jsonc")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return nil, nil, fmt.Errorf("write manifest: %w", err)
 	}
--- a/internal/standin/measure/fleet.go
+++ b/internal/standin/measure/fleet.go
@@ -64,35 +64,47 @@
 	}, nil
 }
 
-// Fleet runs fleets of real nodes without load and prints what each costs and
-// how often it calls the platform.
-func Fleet(ctx context.Context, out io.Writer, sizes []int) error {
+// newBench builds the programs and returns a bench for them, and what ends it.
+func newBench() (*process.Bench, func(), error) {
 	dir, err := os.MkdirTemp("", "measure")
 	if err != nil {
-		return fmt.Errorf("make folder: %w", err)
+		return nil, nil, fmt.Errorf("make folder: %w", err)
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
 	bins, err := process.Build(dir)
 	if err != nil {
-		return err
+		_ = os.RemoveAll(dir)
+		return nil, nil, err
 	}
+	b := process.New(bins, dir)
+	return b, func() {
+		b.Close()
+		_ = os.RemoveAll(dir)
+	}, nil
+}
+
+// Fleet runs fleets of real nodes without load and prints what each costs and
+// how often it calls the platform.
+func Fleet(ctx context.Context, out io.Writer, sizes []int) error {
 	for _, n := range sizes {
-		if err := oneFleet(ctx, out, bins, dir, n); err != nil {
+		if err := oneFleet(ctx, out, n); err != nil {
 			return fmt.Errorf("fleet of %d: %w", n, err)
 		}
 	}
 	return nil
 }
 
-func oneFleet(ctx context.Context, out io.Writer, bins process.Binaries, dir string, n int) error {
+func oneFleet(ctx context.Context, out io.Writer, n int) error {
 	ctx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
-	b := process.New(bins, dir)
-	defer b.Close()
+	b, closeBench, err := newBench()
+	if err != nil {
+		return err
+	}
+	defer closeBench()
 	if err := b.StartPlatform(ctx); err != nil {
 		return err
 	}
-	if err := shipManifest(b, dir, 0); err != nil {
+	if err := shipManifest(b, 0); err != nil {
 		return err
 	}
 	for i := range n {
@@ -196,7 +208,7 @@
 }
 
 // shipManifest ships a manifest of at least some bytes.
-func shipManifest(b *process.Bench, dir string, size int) error {
+func shipManifest(b *process.Bench, size int) error {
 	m := manifest.Manifest{
 		Name:          "measure",
 		Organisations: []manifest.Organisation{{Name: "acme", Rate: 1000, Burst: 1000, Keys: []string{manifest.Digest("example-acme")}}},
@@ -216,7 +228,7 @@
 		if len(text) < size {
 			continue
 		}
-		path := filepath.Join(dir, "manifest.json")
+		path := filepath.Join(b.Dir, "manifest.json")
 		if err := os.WriteFile(path, text, 0o600); err != nil {
 			return fmt.Errorf("write manifest: %w", err)
 		}
@@ -233,21 +245,15 @@
 func Full(ctx context.Context, out io.Writer) error {
 	ctx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
-	dir, err := os.MkdirTemp("", "measure")
-	if err != nil {
-		return fmt.Errorf("make folder: %w", err)
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	bins, err := process.Build(dir)
+	b, closeBench, err := newBench()
 	if err != nil {
 		return err
 	}
-	b := process.New(bins, dir)
-	defer b.Close()
+	defer closeBench()
 	if err := b.StartPlatform(ctx); err != nil {
 		return err
 	}
-	if err := shipManifest(b, dir, manifest.MaxSize*9/10); err != nil {
+	if err := shipManifest(b, manifest.MaxSize*9/10); err != nil {
 		return err
 	}
 	m, err := b.AddMember("zone-0", "", []process.Option{quiet})
