--- a/cmd/chestnutshed/main.go
+++ b/cmd/chestnutshed/main.go
@@ -17,6 +17,7 @@
 func program(out io.Writer) command.Program {
 	return command.Program{Name: "chestnutshed", Long: usage, Commands: []command.Command{
 		{Name: "node", Short: "run a node beside its target", Long: nodeUsage, Data: &nodeCommand{out: out}},
+		{Name: "mesh", Short: "run a node on the users' platform", Long: meshUsage, Data: &meshCommand{out: out}},
 		{Name: "check", Short: "check a manifest or settings file", Long: checkUsage, Data: &checkCommand{out: out}},
 		{Name: "diff", Short: "show what a ship would change", Long: diffUsage, Data: &diffCommand{out: out}},
 		{Name: "ship", Short: "put a manifest in force", Long: shipUsage, Data: &shipCommand{out: out}},
--- /dev/null
+++ b/cmd/chestnutshed/mesh.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+	"chestnutshed.example/chestnutshed/internal/core/logline"
+	"chestnutshed.example/chestnutshed/internal/mesh/node"
+	"chestnutshed.example/chestnutshed/internal/traffic/guard"
+	"chestnutshed.example/chestnutshed/platform"
+	"github.com/sirupsen/logrus"
+)
+
+const meshUsage = `Run a node on the users' platform until SIGTERM.
+
+The node beside each target is the way to every service for callers on its own
+VM. On SIGTERM it stops without cutting requests, within the grace of its
+settings. SIGHUP reads the settings again, as does a change of their file. Logs
+go to standard output as JSON lines.`
+
+// settingsEvery is the time between looks whether the settings have changed.
+const settingsEvery = 5 * time.Second
+
+type meshCommand struct {
+	out io.Writer
+
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings in JSON with comments"`
+}
+
+// Execute implements flags.Commander.
+func (c *meshCommand) Execute([]string) error {
+	s, err := settings.LoadMesh(c.Settings)
+	if err != nil {
+		return fmt.Errorf("load settings: %w", err)
+	}
+	severity, err := logrus.ParseLevel(s.Level)
+	if err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
+	writing, stopWriting := context.WithCancel(context.Background())
+	lines := logline.New(writing, c.out)
+	defer func() {
+		stopWriting()
+		<-lines.Done()
+	}()
+	log := lines.Logger(severity)
+	store := platform.NewStore(s.Store)
+	n, err := node.New(s, node.Seams{
+		Dialect: platform.Dialect{}, Source: store, Directory: store, Ready: platform.Ready,
+		Announcements: func(sink *guard.Service, address string, now func() time.Time, log *logrus.Entry) http.Handler {
+			return platform.Announcements(sink, address, now, log)
+		},
+	}, log)
+	if err != nil {
+		return fmt.Errorf("make node: %w", err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go c.watch(ctx, n, log)
+	return n.Run(ctx)
+}
+
+// watch reads the settings again on SIGHUP and when their file changes.
+// Settings that can't be used leave the last good ones in force.
+func (c *meshCommand) watch(ctx context.Context, n *node.Node, log *logrus.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	last, err := os.ReadFile(c.Settings)
+	if err != nil {
+		log.WithError(err).Warn("settings can't be read")
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			last = nil
+		case <-ticker.C:
+		}
+		text, err := os.ReadFile(c.Settings)
+		if err != nil || bytes.Equal(text, last) {
+			continue
+		}
+		last = text
+		s, err := settings.LoadMesh(c.Settings)
+		if err != nil {
+			log.WithError(err).Error("changed settings can't be used")
+			continue
+		}
+		n.Reload(s)
+	}
+}
--- /dev/null
+++ b/internal/config/settings/mesh.go
@@ -0,0 +1,124 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Defaults of a node's settings.
+const (
+	defaultGrace  = 6
+	defaultRevoke = 5
+	defaultRatio  = 0.2
+	defaultSlack  = 20
+)
+
+// Seconds is a duration written as a number of seconds, with fractions.
+type Seconds float64
+
+// Duration is the value as a time.Duration.
+func (s Seconds) Duration() time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
+
+// Extra bounds second sends to a service, over all nodes.
+type Extra struct {
+	// Ratio is the part of first sends, Slack a number beside it, each over a
+	// window of ten seconds.
+	Ratio float64 `json:"ratio"`
+	Slack float64 `json:"slack"`
+}
+
+// Mesh are the settings of a node whose callers are on its own VM.
+type Mesh struct {
+	// Node is the name that stays the same over restarts.
+	Node   string `json:"node"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	// Service is the service of the target on the VM.
+	Service string `json:"service"`
+	// Memory is what the process may use, in megabytes; 0 is no limit.
+	Memory int `json:"memory"`
+	// Target, Callers, Peers, Ready, Announcements, Datagrams and Operators
+	// are addresses, IP:port.
+	Target        string `json:"target"`
+	Callers       string `json:"callers"`
+	Peers         string `json:"peers"`
+	Ready         string `json:"ready"`
+	Announcements string `json:"announcements"`
+	Datagrams     string `json:"datagrams"`
+	Operators     string `json:"operators"`
+	// Store is where the platform keeps objects, IP:port.
+	Store string `json:"store"`
+	// Grace is the time from the signal to stop to the end by force.
+	Grace Seconds `json:"grace"`
+	// Revoke is how long a withdrawn key may still be honoured.
+	Revoke Seconds `json:"revoke"`
+	Extra  Extra   `json:"extra,omitzero"`
+	Level  string  `json:"level,omitempty"`
+}
+
+// Defaults returns a copy in which empty optional fields have their values.
+func (m Mesh) Defaults() Mesh {
+	if m.Grace == 0 {
+		m.Grace = defaultGrace
+	}
+	if m.Revoke == 0 {
+		m.Revoke = defaultRevoke
+	}
+	if m.Extra == (Extra{}) {
+		m.Extra = Extra{Ratio: defaultRatio, Slack: defaultSlack}
+	}
+	if m.Level == "" {
+		m.Level = "info"
+	}
+	return m
+}
+
+// Validate returns one error that names every field that is wrong.
+func (m Mesh) Validate() error {
+	var errs []error
+	add := func(field, format string, args ...any) {
+		errs = append(errs, trace.BadParameter("%s: %s", field, fmt.Sprintf(format, args...)))
+	}
+	for _, f := range []struct{ name, value string }{{"node", m.Node}, {"zone", m.Zone}, {"service", m.Service}} {
+		if f.value == "" {
+			add(f.name, "must be set")
+		}
+	}
+	for _, f := range []struct{ name, value string }{
+		{"target", m.Target}, {"callers", m.Callers}, {"peers", m.Peers}, {"ready", m.Ready},
+		{"announcements", m.Announcements}, {"datagrams", m.Datagrams}, {"operators", m.Operators}, {"store", m.Store},
+	} {
+		if _, _, err := net.SplitHostPort(f.value); err != nil {
+			add(f.name, "must be IP:port, got %q", f.value)
+		}
+	}
+	if m.Grace < 0 || m.Revoke < 0 || m.Memory < 0 {
+		add("grace, revoke, memory", "must not be negative")
+	}
+	if m.Extra.Ratio < 0 || m.Extra.Slack < 0 {
+		add("extra", "ratio and slack must not be negative")
+	}
+	return errors.Join(errs...)
+}
+
+// LoadMesh reads, completes and validates a settings file.
+func LoadMesh(path string) (Mesh, error) {
+	var m Mesh
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return m, fmt.Errorf("read settings: %w", trace.ConvertSystemError(err))
+	}
+	if err := Decode(text, &m); err != nil {
+		return m, fmt.Errorf("parse settings %s: %w", path, err)
+	}
+	m = m.Defaults()
+	if err := m.Validate(); err != nil {
+		return m, fmt.Errorf("validate settings %s:\n%w", path, err)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/fleet/allowance/allowance.go
@@ -0,0 +1,456 @@
+// Package allowance keeps each organisation within its rate and burst over all
+// nodes: one node, the holder, keeps every organisation's bucket, and the others
+// draw small batches of tokens from it by datagrams.
+//
+// The holder is the first running node, once it hears a majority of the nodes
+// known; it stays holder until it is gone. A holder starts with empty buckets,
+// so that a change of holder never grants a burst twice. A node that gets no
+// answer from a holder spends a small standing share, which together with what
+// the holder grants stays within the tolerated overage.
+package allowance
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/follow"
+	"chestnutshed.example/chestnutshed/internal/config/rules"
+	"chestnutshed.example/chestnutshed/internal/core/clock"
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"chestnutshed.example/chestnutshed/internal/policy/bucket"
+	"github.com/sirupsen/logrus"
+)
+
+// Name of the service and of its topic.
+const Name = "allowance"
+
+const (
+	// electEvery is the time between looks whether a holder is missing.
+	electEvery = 250 * time.Millisecond
+	// settleTime is how long a node runs before it may become holder, so that
+	// it has heard of one that exists.
+	settleTime = 1200 * time.Millisecond
+	// drawEvery bounds how often a node asks the holder.
+	drawEvery = 20 * time.Millisecond
+	// drawPatience is how long a request waits for an answer of the holder:
+	// several times a way between zones and back.
+	drawPatience = 60 * time.Millisecond
+	// standingPart is the part of an organisation's rate that all nodes
+	// together may spend without a holder. With a third of the nodes cut off
+	// it is an eighth of the rate, about the tolerated overage.
+	standingPart = 0.4
+	// standingBurst is the number of tokens that a node's standing share holds
+	// at most.
+	standingBurst = 2
+	// ratePart and extraBurst are what is granted beyond rate and burst: half of
+	// the tolerated overage, for tokens that expire unused at their drawers.
+	ratePart   = 1.05
+	extraBurst = 8
+	// comeBack is when a caller over the rate is asked to return.
+	comeBack = 700 * time.Millisecond
+)
+
+// Fleet is what the service needs of the roster.
+type Fleet interface {
+	Self() member.Record
+	Running(now time.Time) (ids []string, known int)
+	Silent(now time.Time, id string) bool
+	Get(id string) (member.Record, bool)
+	Send(now time.Time, id, topic string, body any) error
+}
+
+// claim names the holder; a greater epoch outranks, then the smaller ID.
+type claim struct {
+	Epoch  uint64 `json:"e"`
+	Holder string `json:"h"`
+}
+
+func (c claim) outranks(o claim) bool {
+	return c.Epoch > o.Epoch || (c.Epoch == o.Epoch && c.Holder < o.Holder)
+}
+
+// draw asks for tokens of one organisation.
+type draw struct {
+	Organisation string `json:"org"`
+	bucket.Ask
+}
+
+// granted answers a draw.
+type granted struct {
+	Organisation string `json:"org"`
+	bucket.Grant
+}
+
+// message is a draw or its answer.
+type message struct {
+	Epoch uint64 `json:"e"`
+	// Asked is the drawer's clock, echoed in the answer, in nanoseconds.
+	Asked  int64     `json:"at"`
+	Draws  []draw    `json:"draws,omitempty"`
+	Grants []granted `json:"grants,omitempty"`
+}
+
+// purse is what this node has drawn for one organisation.
+type purse struct {
+	*bucket.Purse
+	waiting  int
+	filled   chan struct{}
+	dryAt    time.Time
+	standing float64
+	at       time.Time
+}
+
+// Service takes tokens for requests.
+type Service struct {
+	fleet  Fleet
+	config *follow.Service
+	log    *logrus.Entry
+
+	mu       sync.Mutex
+	began    time.Time
+	claim    claim
+	parts    map[string]*bucket.Part
+	purses   map[string]*purse
+	asked    time.Time
+	drawing  bool
+	answered time.Time
+}
+
+// New returns a service without a holder.
+func New(now time.Time, fleet Fleet, config *follow.Service, log *logrus.Entry) *Service {
+	return &Service{
+		fleet: fleet, config: config, log: log, began: now,
+		parts: map[string]*bucket.Part{}, purses: map[string]*purse{},
+	}
+}
+
+// Result is what came of taking a token: Taken, Exceeded or Unknown.
+type Result int
+
+// The results. Standing means that the token came from the share that needs no
+// holder.
+const (
+	Taken Result = iota
+	Standing
+	Exceeded
+)
+
+// String is the word in logs.
+func (r Result) String() string { return [...]string{"taken", "standing", "exceeded"}[r] }
+
+// ComeBack is when a caller over the rate may return.
+func ComeBack() time.Duration { return comeBack }
+
+// Take spends one token of an organisation, waiting a short time for the
+// holder's answer.
+func (s *Service) Take(ctx context.Context, now time.Time, org *rules.Organisation) Result {
+	if org.Rate <= 0 {
+		return Taken
+	}
+	s.mu.Lock()
+	p := s.purseOf(org.Name)
+	p.Count(now)
+	if p.Spend(now) {
+		if p.Want(now, 0) > 0 {
+			s.ask(now)
+		}
+		s.mu.Unlock()
+		return Taken
+	}
+	p.waiting++
+	var filled <-chan struct{} = p.filled
+	s.ask(now)
+	s.mu.Unlock()
+	timer := time.NewTimer(drawPatience)
+	defer timer.Stop()
+	result, waits := Exceeded, true
+	for waits {
+		select {
+		case <-filled:
+		case <-timer.C:
+			waits = false
+		case <-ctx.Done():
+			waits = false
+		}
+		s.mu.Lock()
+		result, filled = s.retake(clock.Now(), now, org, p)
+		waits = waits && result == Exceeded && p.dryAt.Before(now)
+		s.mu.Unlock()
+	}
+	s.mu.Lock()
+	p.waiting--
+	s.mu.Unlock()
+	return result
+}
+
+// retake tries again after a wait. The mutex is held.
+func (s *Service) retake(now, began time.Time, org *rules.Organisation, p *purse) (Result, <-chan struct{}) {
+	switch {
+	case p.Spend(now):
+		return Taken, p.filled
+	case !p.dryAt.Before(began):
+		return Exceeded, p.filled
+	case now.Sub(began) >= drawPatience && s.standing(now, org, p):
+		return Standing, p.filled
+	}
+	return Exceeded, p.filled
+}
+
+// standing spends from this node's share that needs no holder. The mutex is
+// held.
+func (s *Service) standing(now time.Time, org *rules.Organisation, p *purse) bool {
+	_, known := s.fleet.Running(now)
+	rate := org.Rate * standingPart / float64(max(known, 2))
+	if p.at.IsZero() {
+		p.standing = 1
+	} else {
+		p.standing = min(standingBurst, p.standing+rate*now.Sub(p.at).Seconds())
+	}
+	p.at = now
+	if p.standing < 1 {
+		return false
+	}
+	p.standing--
+	return true
+}
+
+// Refund gives back the token of a request that did not run.
+func (s *Service) Refund(now time.Time, org *rules.Organisation) {
+	if org == nil || org.Rate <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.purseOf(org.Name).Refund(now)
+}
+
+func (s *Service) purseOf(name string) *purse {
+	p, ok := s.purses[name]
+	if !ok {
+		p = &purse{Purse: bucket.NewPurse(), filled: make(chan struct{})}
+		s.purses[name] = p
+	}
+	return p
+}
+
+// ask starts a draw unless one is under way. The mutex is held.
+func (s *Service) ask(now time.Time) {
+	if s.drawing {
+		return
+	}
+	s.drawing = true
+	wait := max(0, drawEvery-now.Sub(s.asked))
+	time.AfterFunc(wait, func() { s.draw(clock.Now()) })
+}
+
+// draw asks the holder for what all purses want.
+func (s *Service) draw(now time.Time) {
+	self := s.fleet.Self().ID
+	s.mu.Lock()
+	s.drawing, s.asked = false, now
+	holder := s.claim
+	m := message{Epoch: holder.Epoch, Asked: now.UnixNano()}
+	again := false
+	for name, p := range s.purses {
+		if want := p.Want(now, p.waiting); want > 0 {
+			m.Draws = append(m.Draws, draw{name, p.Ask(self, bucket.Source{Epoch: holder.Epoch}, want)})
+			again = again || p.waiting > 0
+		}
+	}
+	if again && holder.Holder != self {
+		s.ask(now)
+	}
+	if len(m.Draws) == 0 || holder.Holder == "" {
+		s.mu.Unlock()
+		return
+	}
+	if holder.Holder == self {
+		s.fill(now, s.grant(now, self, m))
+		s.mu.Unlock()
+		return
+	}
+	s.mu.Unlock()
+	if err := s.fleet.Send(now, holder.Holder, Name, m); err != nil {
+		s.log.WithError(err).Debug("draw not sent")
+	}
+}
+
+// grant serves a draw. The mutex is held.
+func (s *Service) grant(now time.Time, drawer string, m message) message {
+	answer := message{Epoch: s.claim.Epoch, Asked: m.Asked}
+	c := s.config.Get()
+	if c == nil {
+		return answer
+	}
+	for _, d := range m.Draws {
+		org := c.Rules.ByName(d.Organisation)
+		if org == nil {
+			continue
+		}
+		ask := d.Ask
+		ask.Drawer = drawer
+		answer.Grants = append(answer.Grants, granted{org.Name, s.partOf(now, org).Draw(now, ask)})
+	}
+	return answer
+}
+
+func (s *Service) partOf(now time.Time, org *rules.Organisation) *bucket.Part {
+	terms := bucket.Terms{Rate: org.Rate * ratePart, Burst: org.Burst + extraBurst}
+	p, ok := s.parts[org.Name]
+	if !ok {
+		p = bucket.NewPart(now, terms, bucket.Whole)
+		s.parts[org.Name] = p
+	}
+	p.SetTerms(now, terms)
+	return p
+}
+
+// fill takes grants. The mutex is held.
+func (s *Service) fill(now time.Time, m message) {
+	asked := time.Unix(0, m.Asked)
+	s.answered = now
+	for _, g := range m.Grants {
+		p, ok := s.purses[g.Organisation]
+		if !ok {
+			continue
+		}
+		if g.Tokens == 0 {
+			p.Dry(now)
+			p.dryAt = now
+		} else {
+			p.Add(asked, bucket.Source{Epoch: m.Epoch}, g.Grant)
+		}
+		close(p.filled)
+		p.filled = make(chan struct{})
+	}
+}
+
+// Message implements roster.Topic.
+func (s *Service) Message(now time.Time, from string, body json.RawMessage) {
+	var m message
+	if err := json.Unmarshal(body, &m); err != nil {
+		s.log.WithError(err).WithField("peer", from).Warn("draw can't be read")
+		return
+	}
+	s.mu.Lock()
+	if len(m.Draws) == 0 {
+		s.fill(now, m)
+		s.mu.Unlock()
+		return
+	}
+	if s.claim.Holder != s.fleet.Self().ID {
+		s.mu.Unlock()
+		return
+	}
+	answer := s.grant(now, from, m)
+	s.mu.Unlock()
+	if err := s.fleet.Send(now, from, Name, answer); err != nil {
+		s.log.WithError(err).Debug("grant not sent")
+	}
+}
+
+// Note implements roster.Topic.
+func (s *Service) Note() json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.claim.Holder == "" {
+		return nil
+	}
+	text, err := json.Marshal(s.claim)
+	if err != nil {
+		s.log.WithError(err).Error("claim can't be written")
+		return nil
+	}
+	return text
+}
+
+// Noted implements roster.Topic.
+func (s *Service) Noted(_ time.Time, from string, note json.RawMessage) {
+	var c claim
+	if err := json.Unmarshal(note, &c); err != nil {
+		s.log.WithError(err).WithField("peer", from).Warn("claim can't be read")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.outranks(s.claim) {
+		s.adopt(c)
+	}
+}
+
+// adopt follows another holder. What this node granted stays valid for the
+// life of a token, which the next holder allows for. The mutex is held.
+func (s *Service) adopt(c claim) {
+	s.log.WithFields(logrus.Fields{"holder": c.Holder, "epoch": c.Epoch, "was": s.claim.Holder}).Info("holder of the rates changed")
+	s.claim = c
+	clear(s.parts)
+}
+
+// elect makes this node the holder when there is none and it is the first of a
+// majority.
+func (s *Service) elect(now time.Time) {
+	self := s.fleet.Self()
+	ids, known := s.fleet.Running(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.began) < settleTime || self.Leaving || s.holderRuns(now) {
+		return
+	}
+	if len(ids) == 0 || ids[0] != self.ID || 2*len(ids) <= known {
+		return
+	}
+	s.adopt(claim{Epoch: s.claim.Epoch + 1, Holder: self.ID})
+}
+
+// holderRuns reports whether the holder seems to run. The mutex is held.
+func (s *Service) holderRuns(now time.Time) bool {
+	if s.claim.Holder == "" {
+		return false
+	}
+	if s.claim.Holder == s.fleet.Self().ID {
+		return true
+	}
+	r, ok := s.fleet.Get(s.claim.Holder)
+	return ok && !r.Gone() && !r.Leaving && !s.fleet.Silent(now, r.ID)
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Start implements kernel.Service.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	k.Go(func(ctx context.Context) error {
+		ticker := time.NewTicker(electEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				s.elect(clock.Now())
+			}
+		}
+	})
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error { return nil }
+
+// State implements kernel.Service.
+func (s *Service) State() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, levels := clock.Now(), map[string]string{}
+	for name, p := range s.parts {
+		levels[name] = fmt.Sprintf("%.0f, %.0f outstanding", p.Level(now), p.Outstanding())
+	}
+	return struct {
+		Claim  claim             `json:"claim"`
+		Levels map[string]string `json:"levels,omitempty"`
+	}{s.claim, levels}
+}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -52,8 +52,12 @@
 	// Service and Slots describe its target while that is ready.
 	Service string `json:"svc,omitempty"`
 	Slots   int    `json:"slots,omitempty"`
-	// Instance is the target's own incarnation.
+	// Instance and Born name the target's own incarnation: its ID and the Unix
+	// millisecond of its start.
 	Instance string `json:"inst,omitempty"`
+	Born     int64  `json:"born,omitempty"`
+	// Datagrams is where the node takes membership datagrams, IP:port.
+	Datagrams string `json:"udp,omitempty"`
 	// Failing is set while the target fails most requests.
 	Failing bool `json:"fail,omitempty"`
 	// Leaving is set when the node takes no new work.
--- /dev/null
+++ b/internal/mesh/node/operators.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"chestnutshed.example/chestnutshed/internal/config/follow"
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// operators serves metrics, the state dump and the configuration's text.
+func (n *Node) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		n.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(n.kernel.Dump()); err != nil {
+			n.log.WithError(err).Warn("state not written")
+		}
+	})
+	mux.Handle("GET "+follow.ConfigPath, n.config)
+	return mux
+}
--- a/internal/policy/bucket/purse.go
+++ b/internal/policy/bucket/purse.go
@@ -56,6 +56,22 @@
 	return false
 }
 
+// Refund takes back a token that was spent at most a moment ago on a request
+// that did not run.
+func (p *Purse) Refund(now time.Time) {
+	for i := range p.batches {
+		b := &p.batches[i]
+		list := p.spent[b.source]
+		n := len(list)
+		if !now.Before(b.until) || n == 0 || list[n-1].Grant != b.grant || list[n-1].Tokens == 0 {
+			continue
+		}
+		b.tokens++
+		list[n-1].Tokens--
+		return
+	}
+}
+
 // spend counts one token of a grant for the next report.
 func (p *Purse) spend(source Source, id uint64) {
 	list := p.spent[source]
--- a/internal/policy/gate/gate.go
+++ b/internal/policy/gate/gate.go
@@ -167,7 +167,7 @@
 		return Refuse{Reason: failure.Deadline}, Moves{}
 	}
 	if g.rules.Levels && !g.level.Cut().Admits(r.Score, r.Depth) && !g.lessImportantWaits(r.Score) {
-		return Refuse{Reason: failure.Overload, After: g.comeBack()}, Moves{}
+		return Refuse{Reason: failure.Overload, After: g.ComeBack()}, Moves{}
 	}
 	if len(g.running) < g.limit.Value() && g.queue.Len() == 0 {
 		g.start(now, r)
@@ -179,7 +179,7 @@
 	if full {
 		delete(g.waiting, displaced.ID)
 		if displaced.ID == r.ID {
-			return Refuse{Reason: failure.Overload, After: g.comeBack()}, moves
+			return Refuse{Reason: failure.Overload, After: g.ComeBack()}, moves
 		}
 		moves.Left = append(moves.Left, Left{displaced.ID, failure.Overload})
 	}
@@ -211,9 +211,9 @@
 	return left <= 0 || left < hopeless*g.hold[route]
 }
 
-// comeBack is when a refused caller is asked to try again: after the time that
+// ComeBack is when a refused caller is asked to try again: after the time that
 // a full queue takes.
-func (g *Gate) comeBack() time.Duration {
+func (g *Gate) ComeBack() time.Duration {
 	capacity := g.level.Capacity()
 	if capacity <= 0 {
 		return time.Second
--- /dev/null
+++ b/internal/traffic/call/call.go
@@ -0,0 +1,216 @@
+// Package call defines what an entry node tells a serving node about one
+// request, and what it hears back.
+package call
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
+	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
+)
+
+// Headers between nodes; their values are JSON.
+const (
+	header       = "Chestnutshed-Call"
+	resultHeader = "Chestnutshed-Result"
+)
+
+// Call is one request on its way to a target.
+type Call struct {
+	ID      string `json:"id"`
+	Route   string `json:"route"`
+	Service string `json:"svc"`
+	// Instance and Born name the incarnation of the target that is meant.
+	Instance string `json:"inst"`
+	Born     int64  `json:"born"`
+	// Organisation is the holder of the key; empty on open routes.
+	Organisation string `json:"org,omitempty"`
+	// Caller is the service of the VM where the request began.
+	Caller     string         `json:"from"`
+	Idempotent bool           `json:"idem,omitempty"`
+	Score      priority.Score `json:"score"`
+	// Depth is 1 for a caller's request and 2 for a call of a target.
+	Depth int `json:"depth"`
+	// Left is how long an answer is still of use, in milliseconds.
+	Left int64 `json:"left"`
+	// Patience is how long the call may wait for a slot, in milliseconds.
+	Patience int64 `json:"wait"`
+	// Forced lets the call through to a target that seems to fail.
+	Forced bool `json:"forced,omitempty"`
+}
+
+// LeftTime is Left as a duration.
+func (c Call) LeftTime() time.Duration { return time.Duration(c.Left) * time.Millisecond }
+
+// WithTarget returns a copy that is meant for a target.
+func (c Call) WithTarget(instance string, born int64) Call {
+	c.Instance, c.Born = instance, born
+	return c
+}
+
+// WithLeft returns a copy with the time that is left now.
+func (c Call) WithLeft(left time.Duration) Call {
+	c.Left = left.Milliseconds()
+	return c
+}
+
+// Outcome is what came of a call: Answered, Refused or Lost.
+type Outcome interface{ outcome() }
+
+// Answered is a target's whole answer.
+type Answered struct{ Response *httpconn.Response }
+
+// Refused means that the call did not run and never will.
+type Refused struct {
+	Reason failure.Reason
+	// After is when there may be room.
+	After time.Duration
+	// Arrived is set when the target itself turned the call away.
+	Arrived bool
+}
+
+// Lost means that the call may have run, without a whole answer.
+type Lost struct {
+	Reason failure.Reason
+	Err    error
+}
+
+func (Answered) outcome() {}
+func (Refused) outcome()  {}
+func (Lost) outcome()     {}
+
+// Load is what a serving node says of its target.
+type Load struct {
+	// Load is running plus waiting calls over the slots.
+	Load float64 `json:"load"`
+	// Cut is the score up to which calls are admitted.
+	Cut priority.Cut `json:"cut"`
+}
+
+// result is an outcome between nodes.
+type result struct {
+	Load
+	// Kind is "whole", "refused" or "lost".
+	Kind    string         `json:"kind"`
+	Reason  failure.Reason `json:"why,omitempty"`
+	After   int64          `json:"after,omitempty"`
+	Arrived bool           `json:"arrived,omitempty"`
+	Detail  string         `json:"detail,omitempty"`
+}
+
+// Put writes the call into a request's headers.
+func (c Call) Put(h http.Header) error {
+	text, err := json.Marshal(c)
+	if err != nil {
+		return fmt.Errorf("encode call: %w", err)
+	}
+	h[header] = []string{string(text)}
+	return nil
+}
+
+// Take reads the call from a request's headers and removes it there.
+func Take(h http.Header) (Call, error) {
+	var c Call
+	if err := json.Unmarshal([]byte(h.Get(header)), &c); err != nil {
+		return c, fmt.Errorf("decode call: %w", err)
+	}
+	h.Del(header)
+	return c, nil
+}
+
+// Encode turns an outcome into a response between nodes.
+func Encode(o Outcome, load Load) (*httpconn.Response, error) {
+	r := result{Load: load}
+	resp := &httpconn.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
+	switch o := o.(type) {
+	case Answered:
+		r.Kind = "whole"
+		resp = &httpconn.Response{Status: o.Response.Status, Header: o.Response.Header, Body: o.Response.Body}
+	case Refused:
+		r.Kind, r.Reason, r.After, r.Arrived = "refused", o.Reason, o.After.Milliseconds(), o.Arrived
+	case Lost:
+		r.Kind, r.Reason = "lost", o.Reason
+		if o.Err != nil {
+			r.Detail = o.Err.Error()
+		}
+	}
+	text, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode result: %w", err)
+	}
+	resp.Header[resultHeader] = []string{string(text)}
+	return resp, nil
+}
+
+// Decode reads an outcome from a response between nodes.
+func Decode(resp *httpconn.Response) (Outcome, Load, error) {
+	var r result
+	if err := json.Unmarshal([]byte(resp.Header.Get(resultHeader)), &r); err != nil {
+		return nil, Load{}, fmt.Errorf("decode result: %w", err)
+	}
+	resp.Header.Del(resultHeader)
+	switch r.Kind {
+	case "whole":
+		return Answered{resp}, r.Load, nil
+	case "refused":
+		return Refused{r.Reason, time.Duration(r.After) * time.Millisecond, r.Arrived}, r.Load, nil
+	case "lost":
+		var err error
+		if r.Detail != "" {
+			err = fmt.Errorf("peer: %s", r.Detail)
+		}
+		return Lost{r.Reason, err}, r.Load, nil
+	}
+	return nil, Load{}, fmt.Errorf("decode result: kind %q is unknown", r.Kind)
+}
+
+// Wish is what a caller's request says of itself.
+type Wish struct {
+	ID string
+	// Left is how long the caller waits; 0 if it doesn't say.
+	Left time.Duration
+	// Key is the caller's key; empty without one.
+	Key string
+}
+
+// Reply is what a target's answer says of itself.
+type Reply struct {
+	// ID is the request that is answered; empty if the answer doesn't say.
+	ID string
+	// NotRun is set when the target states that it did not run the request.
+	NotRun bool
+	// Misplaced is set when another target has the address.
+	Misplaced bool
+}
+
+// Dialect translates the headers that callers and targets use.
+type Dialect interface {
+	// Wish decodes a caller's headers.
+	Wish(h http.Header) Wish
+	// Outgoing turns a caller's headers into those for the target.
+	Outgoing(h http.Header, c Call)
+	// Reply decodes a target's headers.
+	Reply(status int, h http.Header) Reply
+	// Refusal makes the answer of the node itself.
+	Refusal(id string, status int, after time.Duration, reason failure.Reason) *httpconn.Response
+}
+
+// Describe is an outcome in a few words, for logs.
+func Describe(o Outcome) string {
+	switch o := o.(type) {
+	case Answered:
+		return fmt.Sprintf("answered %d", o.Response.Status)
+	case Refused:
+		return fmt.Sprintf("refused (%s), not run", o.Reason)
+	case Lost:
+		if o.Err != nil {
+			return fmt.Sprintf("lost (%s): %v", o.Reason, o.Err)
+		}
+		return fmt.Sprintf("lost (%s)", o.Reason)
+	}
+	return "none"
+}
--- /dev/null
+++ b/internal/traffic/guard/guard.go
@@ -0,0 +1,426 @@
+// Package guard is the serving node's side of a call: it admits calls to the
+// node's own target, which gets all its work through here.
+package guard
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/core/clock"
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/policy/choice"
+	"chestnutshed.example/chestnutshed/internal/policy/gate"
+	"chestnutshed.example/chestnutshed/internal/policy/intake"
+	"chestnutshed.example/chestnutshed/internal/policy/level"
+	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
+	"chestnutshed.example/chestnutshed/internal/policy/resend"
+	"chestnutshed.example/chestnutshed/internal/traffic/call"
+	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+)
+
+// Name of the service.
+const Name = "guard"
+
+const (
+	// dialTimeout bounds a connection to the target on the same VM.
+	dialTimeout = 500 * time.Millisecond
+	// maxAnswer bounds a target's answer, in bytes.
+	maxAnswer = 32 << 20
+	// maxIdle bounds the idle connections to the target.
+	maxIdle = 256
+	// freshFor is how long an idle connection is used for requests that can't
+	// be sent again; an older one may be closed while they are on their way.
+	freshFor = 700 * time.Millisecond
+	// answerGrace is how long a target's own answer at its deadline is awaited.
+	answerGrace = 40 * time.Millisecond
+	// downFor is how long a target whose port refused is left alone.
+	downFor = 300 * time.Millisecond
+	// leaveRetry is when a caller refused for a target that leaves may return.
+	leaveRetry = 100 * time.Millisecond
+)
+
+// Listener hears of changes of the target.
+type Listener func(lifecycle.Target)
+
+// Service admits calls to one target.
+type Service struct {
+	dialect call.Dialect
+	log     *logrus.Entry
+	pool    *httpconn.Pool
+	heard   Listener
+
+	mu      sync.Mutex
+	intake  *intake.Intake
+	target  lifecycle.Target
+	waiting map[uint64]chan step
+	downTil time.Time
+	closed  bool
+	lastID  atomic.Uint64
+
+	runs, refusals, losses *metrics.Counter
+	took                   *metrics.Histogram
+}
+
+// step is what a waiting call hears.
+type step struct {
+	started bool
+	reason  failure.Reason
+}
+
+// New returns the service for the target at an address.
+func New(address string, d call.Dialect, heard Listener, set *metrics.Set, log *logrus.Entry) *Service {
+	s := &Service{
+		dialect: d, log: log, heard: heard,
+		intake: intake.New(gate.Standard()), waiting: map[uint64]chan step{},
+		runs:     set.NewCounter("target_calls_total"),
+		refusals: set.NewCounter("target_refusals_total"),
+		losses:   set.NewCounter("target_losses_total"),
+		took:     set.NewHistogram("target_seconds"),
+	}
+	s.pool = httpconn.NewPool(address, httpconn.Options{
+		DialTimeout: dialTimeout, MaxIdle: maxIdle, MaxAnswer: maxAnswer,
+		Mine: func(r *httpconn.Request, h http.Header) bool {
+			id := d.Reply(http.StatusOK, h).ID
+			return id == "" || id == d.Wish(r.Header).ID
+		},
+	})
+	return s
+}
+
+// Announce takes an announcement of the target.
+func (s *Service) Announce(now time.Time, a lifecycle.Announcement) {
+	s.change(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithAnnouncement(now, a) })
+}
+
+// SignOff takes the end of the target's work.
+func (s *Service) SignOff(now time.Time, id string, born int64) {
+	s.change(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithLeave(now, id, born) })
+}
+
+func (s *Service) change(now time.Time, f func(lifecycle.Target) (lifecycle.Target, bool)) {
+	s.mu.Lock()
+	before := s.target
+	next, changed := f(before)
+	s.target = next
+	if changed {
+		if !next.Is(before.Last.ID, before.Last.Born) {
+			s.intake.NewTarget()
+			s.downTil = time.Time{}
+		}
+		s.signal(s.intake.SetSlots(now, s.slots()))
+	}
+	s.mu.Unlock()
+	if !changed {
+		return
+	}
+	s.log.WithFields(logrus.Fields{
+		"target": next.Last.ID, "born": next.Last.Born, "sequence": next.Last.Sequence,
+		"was": before.State.String(), "state": next.State.String(), "slots": next.Slots(),
+	}).Info("target changed")
+	s.heard(next)
+}
+
+// slots is what may be used of the target; nothing once the node stops.
+func (s *Service) slots() int {
+	if s.closed {
+		return 0
+	}
+	return s.target.Slots()
+}
+
+// Target is what is known of the target.
+func (s *Service) Target() lifecycle.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.target
+}
+
+// signal tells waiting calls what became of them. The mutex is held.
+func (s *Service) signal(m gate.Moves) {
+	for _, id := range m.Started {
+		s.tell(id, step{started: true})
+	}
+	for _, l := range m.Left {
+		s.tell(l.ID, step{reason: l.Reason})
+	}
+}
+
+func (s *Service) tell(id uint64, st step) {
+	if ch, ok := s.waiting[id]; ok {
+		delete(s.waiting, id)
+		ch <- st
+	}
+}
+
+// Load is what callers' nodes are told of the target.
+func (s *Service) Load() call.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return call.Load{Load: s.intake.Load(), Cut: s.intake.Cut()}
+}
+
+func none(intake.Child) []choice.Below { return nil }
+
+// Run admits one call and runs it on the target. The context ends when the
+// caller has gone; a call that can't be repeated goes on all the same once it
+// has started.
+func (s *Service) Run(ctx context.Context, now time.Time, c call.Call, r *httpconn.Request) call.Outcome {
+	id := s.lastID.Add(1)
+	until := now.Add(c.LeftTime())
+	if refused := s.admit(ctx, now, id, c, until); refused != nil {
+		s.refusals.Inc()
+		s.log.WithFields(logrus.Fields{
+			"request": c.ID, "route": c.Route, "reason": refused.Reason,
+			"score": float64(c.Score), "waited_ms": clock.Now().Sub(now).Milliseconds(), "after_ms": refused.After.Milliseconds(),
+		}).Info("call refused by its serving node")
+		return *refused
+	}
+	return s.send(ctx, id, c, r, until)
+}
+
+// admit gets a slot for a call, or says why there is none.
+func (s *Service) admit(ctx context.Context, now time.Time, id uint64, c call.Call, until time.Time) *call.Refused {
+	s.mu.Lock()
+	if refused := s.mismatch(now, c); refused != nil {
+		s.mu.Unlock()
+		return refused
+	}
+	verdict, moves := s.intake.Offer(now, gate.Request{
+		ID: id, Route: c.Route, Score: c.Score, Organisation: c.Organisation,
+		Share: 1, Depth: c.Depth, Deadline: until,
+	}, c.Forced, none)
+	var ch chan step
+	if _, waits := verdict.(gate.Wait); waits {
+		ch = make(chan step, 1)
+		s.waiting[id] = ch
+	}
+	s.signal(moves)
+	s.mu.Unlock()
+	switch v := verdict.(type) {
+	case gate.Refuse:
+		return &call.Refused{Reason: v.Reason, After: v.After}
+	case gate.Start:
+		return nil
+	}
+	return s.await(ctx, id, ch, time.Duration(c.Patience)*time.Millisecond)
+}
+
+// mismatch refuses a call that is not for the target as it is now. The mutex
+// is held.
+func (s *Service) mismatch(now time.Time, c call.Call) *call.Refused {
+	switch {
+	case s.closed:
+		return &call.Refused{Reason: failure.Leaving, After: leaveRetry}
+	case s.target.State != lifecycle.Ready:
+		return &call.Refused{Reason: failure.NotReady, After: leaveRetry}
+	case s.target.Last.Service != c.Service, !s.target.Is(c.Instance, c.Born):
+		return &call.Refused{Reason: failure.NoTarget, After: leaveRetry}
+	case now.Before(s.downTil):
+		return &call.Refused{Reason: failure.NotReady, After: downFor}
+	}
+	return nil
+}
+
+func (s *Service) await(ctx context.Context, id uint64, ch chan step, patience time.Duration) *call.Refused {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	reason := failure.Overload
+	select {
+	case st := <-ch:
+		return s.stepped(st)
+	case <-timer.C:
+	case <-ctx.Done():
+		reason = failure.Deadline
+	}
+	s.mu.Lock()
+	waited := s.intake.Cancel(id)
+	delete(s.waiting, id)
+	after := s.comeBack()
+	s.mu.Unlock()
+	if !waited {
+		// The verdict came meanwhile.
+		return s.stepped(<-ch)
+	}
+	return &call.Refused{Reason: reason, After: after}
+}
+
+func (s *Service) stepped(st step) *call.Refused {
+	if st.started {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &call.Refused{Reason: st.reason, After: s.comeBack()}
+}
+
+// comeBack is when a caller that was turned away may find room. The mutex is
+// held.
+func (s *Service) comeBack() time.Duration { return s.intake.ComeBack() }
+
+// send runs an admitted call on the target and gives its slot back.
+func (s *Service) send(ctx context.Context, id uint64, c call.Call, r *httpconn.Request, until time.Time) call.Outcome {
+	began := clock.Now()
+	if ctx.Err() != nil {
+		s.done(began, id, gate.Aborted, false)
+		return call.Refused{Reason: failure.Deadline}
+	}
+	if !c.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	left := until.Sub(began)
+	ctx, cancel := context.WithTimeout(ctx, left+answerGrace)
+	defer cancel()
+	out := *r
+	out.Header = r.Header.Clone()
+	httpconn.StripHop(out.Header)
+	s.dialect.Outgoing(out.Header, c.WithLeft(left))
+	maxAge := time.Duration(0)
+	if !c.Idempotent {
+		maxAge = freshFor
+	}
+	s.runs.Inc()
+	resp, err := s.pool.Do(ctx, &out, maxAge)
+	now := clock.Now()
+	s.took.Update(now.Sub(began).Seconds())
+	outcome := s.judge(now, id, c, ctx, resp, err)
+	if _, whole := outcome.(call.Answered); !whole {
+		s.losses.Inc()
+		s.log.WithFields(logrus.Fields{
+			"request": c.ID, "route": c.Route, "target": c.Instance, "held_ms": now.Sub(began).Milliseconds(),
+			"outcome": call.Describe(outcome),
+		}).Info("call not answered by the target")
+	}
+	return outcome
+}
+
+// judge classifies what came from the target.
+func (s *Service) judge(now time.Time, id uint64, c call.Call, ctx context.Context, resp *httpconn.Response, err error) call.Outcome {
+	switch {
+	case errors.Is(err, httpconn.ErrNotSent):
+		s.done(now, id, gate.Aborted, true)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			s.mu.Lock()
+			s.downTil = now.Add(downFor)
+			s.mu.Unlock()
+		}
+		return call.Refused{Reason: failure.NotReady, After: downFor}
+	case err != nil && ctx.Err() != nil:
+		s.done(now, id, gate.Aborted, errors.Is(ctx.Err(), context.DeadlineExceeded))
+		return call.Lost{Reason: failure.Deadline, Err: err}
+	case err != nil:
+		s.done(now, id, gate.Aborted, true)
+		return call.Lost{Reason: failure.Lost, Err: err}
+	}
+	reply := s.dialect.Reply(resp.Status, resp.Header)
+	if reply.NotRun || reply.Misplaced {
+		s.done(now, id, gate.Rejected, true)
+		return call.Refused{Reason: failure.Overload, After: leaveRetry, Arrived: true}
+	}
+	s.done(now, id, gate.Answered, resend.Failed(resp.Status))
+	return call.Answered{Response: resp}
+}
+
+
+func (s *Service) done(now time.Time, id uint64, result gate.Result, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	moves, changed := s.intake.Done(now, id, result, failed)
+	s.signal(moves)
+	if changed {
+		s.log.WithField("failing", s.intake.Failing()).Warn("judgement of the target changed")
+		t := s.target
+		go s.heard(t)
+	}
+}
+
+// Failing reports whether the target fails most requests.
+func (s *Service) Failing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.intake.Failing()
+}
+
+// Busy is the number of calls that run on the target.
+func (s *Service) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.intake.State().Gate.Running
+}
+
+// Drain refuses new calls from now on; those that run end by themselves.
+func (s *Service) Drain(now time.Time) {
+	s.mu.Lock()
+	s.closed = true
+	s.signal(s.intake.SetSlots(now, 0))
+	s.mu.Unlock()
+}
+
+// Handle answers a call of another node.
+func (s *Service) Handle(ctx context.Context, r *httpconn.Request) *httpconn.Response {
+	c, err := call.Take(r.Header)
+	if err != nil {
+		s.log.WithError(err).Warn("peer's call can't be read")
+		return &httpconn.Response{Status: http.StatusBadRequest}
+	}
+	outcome := s.Run(ctx, r.Received, c, r)
+	if ctx.Err() != nil {
+		return nil
+	}
+	resp, err := call.Encode(outcome, s.Load())
+	if err != nil {
+		s.log.WithError(err).Error("result can't be written")
+		return nil
+	}
+	return resp
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Start implements kernel.Service.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	k.Go(s.tick)
+	return nil
+}
+
+// tick moves the admission level.
+func (s *Service) tick(ctx context.Context) error {
+	ticker := time.NewTicker(level.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.mu.Lock()
+			s.intake.Tick(clock.Now())
+			s.mu.Unlock()
+		}
+	}
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.pool.Reset()
+	return nil
+}
+
+// State implements kernel.Service.
+func (s *Service) State() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return struct {
+		Target lifecycle.Announcement `json:"target"`
+		State  string                 `json:"state"`
+		Intake intake.State           `json:"intake"`
+		Dials  uint64                 `json:"connections"`
+	}{s.target.Last, s.target.State.String(), s.intake.State(), s.pool.Dials()}
+}
--- /dev/null
+++ b/internal/traffic/httpconn/pool.go
@@ -0,0 +1,245 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// concurrentBody is the size in bytes from which a body is written while
+	// the answer is read: smaller ones fit into the socket's buffer.
+	concurrentBody = 16 << 10
+	// idleMargin is the part of the other end's idle time after which a
+	// connection is not used again.
+	idleMargin = 0.6
+	// defaultIdle is the idle time of ends that don't tell theirs.
+	defaultIdle = 8 * time.Second
+	// foreign bounds the number of answers to earlier requests that are skipped.
+	foreign = 3
+)
+
+// ErrNotSent marks an exchange of which no byte was sent.
+var ErrNotSent = errors.New("the request was not sent")
+
+// Options of a pool.
+type Options struct {
+	// DialTimeout bounds the time to connect.
+	DialTimeout time.Duration
+	// MaxIdle bounds the idle connections kept.
+	MaxIdle int
+	// MaxAnswer bounds an answer's body, in bytes.
+	MaxAnswer int64
+	// Mine reports whether an answer belongs to a request; nil takes all.
+	Mine func(req *Request, h http.Header) bool
+}
+
+// Pool keeps connections to one address. A connection carries one request at a
+// time and is not used again after anything unusual.
+type Pool struct {
+	address string
+	options Options
+
+	mu    sync.Mutex
+	idle  []*clientConn
+	dials uint64
+}
+
+type clientConn struct {
+	conn  net.Conn
+	in    *bufio.Reader
+	out   *bufio.Writer
+	until time.Time
+	since time.Time
+}
+
+// NewPool returns a pool without connections.
+func NewPool(address string, o Options) *Pool { return &Pool{address: address, options: o} }
+
+// Dials is the number of connections made so far.
+func (p *Pool) Dials() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dials
+}
+
+// Reset closes all idle connections.
+func (p *Pool) Reset() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.conn.Close()
+	}
+}
+
+// Do sends a request and reads the whole answer. Fresh connections are used
+// where the idle one would be older than maxIdle, if that is above 0. It
+// returns an error that wraps ErrNotSent when nothing was sent.
+func (p *Pool) Do(ctx context.Context, r *Request, maxIdle time.Duration) (*Response, error) {
+	c, err := p.get(ctx, maxIdle)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
+	resp, keep, err := c.exchange(r, p.options)
+	if !stop() {
+		keep = false
+	}
+	if !keep || err != nil {
+		_ = c.conn.Close()
+	} else {
+		p.put(c)
+	}
+	if err != nil && isTimeout(err) && ctx.Err() == nil {
+		p.Reset()
+	}
+	return resp, err
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func (p *Pool) get(ctx context.Context, maxIdle time.Duration) (*clientConn, error) {
+	for {
+		c := p.take()
+		if c == nil {
+			return p.dial(ctx)
+		}
+		now := time.Now()
+		if now.Before(c.until) && (maxIdle == 0 || now.Sub(c.since) < maxIdle) && c.in.Buffered() == 0 && quiet(c.conn) {
+			return c, nil
+		}
+		_ = c.conn.Close()
+	}
+}
+
+func (p *Pool) take() *clientConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+func (p *Pool) put(c *clientConn) {
+	c.since = time.Now()
+	p.mu.Lock()
+	if len(p.idle) < p.options.MaxIdle {
+		p.idle = append(p.idle, c)
+		c = nil
+	}
+	// The oldest are not used again once they are past their time.
+	var old *clientConn
+	if len(p.idle) > 0 && !p.idle[0].until.After(time.Now()) {
+		old, p.idle = p.idle[0], p.idle[1:]
+	}
+	p.mu.Unlock()
+	for _, c := range []*clientConn{c, old} {
+		if c != nil {
+			_ = c.conn.Close()
+		}
+	}
+}
+
+func (p *Pool) dial(ctx context.Context) (*clientConn, error) {
+	p.mu.Lock()
+	p.dials++
+	p.mu.Unlock()
+	d := net.Dialer{Timeout: p.options.DialTimeout, KeepAlive: -1}
+	conn, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w: %w", p.address, ErrNotSent, err)
+	}
+	tune(conn)
+	return &clientConn{
+		conn: conn, in: bufio.NewReaderSize(conn, bufferSize), out: bufio.NewWriterSize(conn, bufferSize),
+	}, nil
+}
+
+// exchange sends one request and reads its answer. Keep reports whether the
+// connection can carry another one.
+func (c *clientConn) exchange(r *Request, o Options) (resp *Response, keep bool, err error) {
+	sent := make(chan error, 1)
+	if len(r.Body) >= concurrentBody {
+		go func() { sent <- writeRequest(c.out, r) }()
+	} else if err := writeRequest(c.out, r); err != nil {
+		// Bytes may have left before the error.
+		return nil, false, err
+	} else {
+		sent <- nil
+	}
+	for range foreign {
+		resp, keep, err = c.readAnswer(r.Method, o)
+		if err != nil {
+			return nil, false, err
+		}
+		if o.Mine == nil || o.Mine(r, resp.Header) {
+			break
+		}
+		// An answer to an earlier request; ours is behind it.
+		resp = nil
+	}
+	if resp == nil {
+		return nil, false, errors.New("the answers belong to other requests")
+	}
+	select {
+	case err := <-sent:
+		keep = keep && err == nil
+	case <-time.After(bodyTail):
+		keep = false
+	}
+	return resp, keep && c.in.Buffered() == 0, nil
+}
+
+// bodyTail is how long the rest of a body may take once the answer is there.
+const bodyTail = 200 * time.Millisecond
+
+// readAnswer reads one final answer, passing over interim ones.
+func (c *clientConn) readAnswer(method string, o Options) (*Response, bool, error) {
+	stub := &http.Request{Method: method}
+	for {
+		resp, err := http.ReadResponse(c.in, stub)
+		if err != nil {
+			return nil, false, fmt.Errorf("read answer: %w", err)
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		body, err := readBody(resp.Body, resp.ContentLength, o.MaxAnswer)
+		if err != nil {
+			return nil, false, err
+		}
+		c.until = time.Now().Add(time.Duration(float64(idleTime(resp.Header)) * idleMargin))
+		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, framed && !resp.Close, nil
+	}
+}
+
+// idleTime is how long the other end keeps an idle connection open.
+func idleTime(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if name != "timeout" {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/internal/traffic/relay/relay.go
@@ -0,0 +1,522 @@
+// Package relay is the entry node's side of a request: it finds the route, the
+// organisation and a target's node, and gives the caller one final answer.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/follow"
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+	"chestnutshed.example/chestnutshed/internal/config/rules"
+	"chestnutshed.example/chestnutshed/internal/core/clock"
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/allowance"
+	"chestnutshed.example/chestnutshed/internal/fleet/roster"
+	"chestnutshed.example/chestnutshed/internal/policy/choice"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
+	"chestnutshed.example/chestnutshed/internal/policy/rank"
+	"chestnutshed.example/chestnutshed/internal/policy/resend"
+	"chestnutshed.example/chestnutshed/internal/policy/spare"
+	"chestnutshed.example/chestnutshed/internal/traffic/call"
+	"chestnutshed.example/chestnutshed/internal/traffic/guard"
+	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+)
+
+// Name of the service.
+const Name = "relay"
+
+const (
+	// peerDial bounds a connection to a peer: several round trips between zones.
+	peerDial = 250 * time.Millisecond
+	// peerIdle bounds the idle connections to one peer.
+	peerIdle = 64
+	// maxAnswer bounds an answer's body, in bytes.
+	maxAnswer = 32 << 20
+	// places is the number of nodes that are asked for a slot.
+	places = 3
+	// answerGrace is how long past the request's time a peer's final word is
+	// awaited.
+	answerGrace = 80 * time.Millisecond
+	// waitPart is the part of a route's objective that a caller's request may
+	// wait for a slot: after an eighth, a refusal serves the caller better.
+	waitPart = 8
+	// innerWaitPart is the same for calls of targets, whose callers hold slots
+	// and have work done already.
+	innerWaitPart = 2
+	// noConfigAfter, staleAfter and noTargetAfter are when a caller refused
+	// for the reason may come back.
+	noConfigAfter = 300 * time.Millisecond
+	staleAfter    = 500 * time.Millisecond
+	noTargetAfter = 200 * time.Millisecond
+	// poolsKept is the number of peers' pools at which unused ones are dropped.
+	poolsKept = 128
+)
+
+// Terms are what an operator or the platform sets.
+type Terms struct {
+	// KeyAge is the greatest age of the configuration's confirmation at which
+	// keys are honoured.
+	KeyAge time.Duration
+	// Extra bounds second sends.
+	Extra spare.Terms
+	// Service is the service of the target on this VM, which calls made here
+	// come from.
+	Service string
+}
+
+// Parts are the services that the relay works with.
+type Parts struct {
+	Dialect   call.Dialect
+	Config    *follow.Service
+	Roster    *roster.Service
+	Allowance *allowance.Service
+	Guard     *guard.Service
+	Set       *metrics.Set
+	Log       *logrus.Entry
+}
+
+// Service answers callers.
+type Service struct {
+	Parts
+	terms  atomic.Pointer[Terms]
+	zone   string
+	serial atomic.Uint64
+
+	mu      sync.Mutex
+	chooser *choice.Chooser
+	ranker  *rank.Ranker
+	extra   *spare.Budget
+	pools   map[string]*httpconn.Pool
+
+	took *metrics.Histogram
+}
+
+// New returns the service of a node in an availability zone.
+func New(zone string, t Terms, p Parts) *Service {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	s := &Service{
+		Parts: p, zone: zone, chooser: choice.New(zone, random), ranker: rank.New(),
+		extra: spare.New(t.Extra), pools: map[string]*httpconn.Pool{},
+		took: p.Set.NewHistogram("request_seconds"),
+	}
+	s.terms.Store(&t)
+	return s
+}
+
+// SetTerms changes the terms; the bound on second sends stays as it was.
+func (s *Service) SetTerms(t Terms) { s.terms.Store(&t) }
+
+// request is one caller's request on its way through the relay.
+type request struct {
+	wish    call.Wish
+	in      *httpconn.Request
+	began   time.Time
+	until   time.Time
+	config  *follow.Config
+	age     time.Duration
+	route   *rules.Route
+	org     *rules.Organisation
+	quota   string
+	call    call.Call
+	tried   []string
+	runs    int
+	lost    bool
+	outcome call.Outcome
+}
+
+// verdict is the relay's own answer.
+type verdict struct {
+	status int
+	reason failure.Reason
+	after  time.Duration
+}
+
+// Handle implements httpconn.Handler.
+func (s *Service) Handle(ctx context.Context, in *httpconn.Request) *httpconn.Response {
+	q := &request{wish: s.Dialect.Wish(in.Header), in: in, began: in.Received}
+	resp, v := s.decide(ctx, q)
+	now := clock.Now()
+	if ctx.Err() != nil {
+		v = &verdict{reason: "caller-left"}
+	}
+	s.record(now, q, resp, v)
+	switch {
+	case ctx.Err() != nil:
+		return nil
+	case v != nil:
+		return s.Dialect.Refusal(q.wish.ID, v.status, v.after, v.reason)
+	}
+	httpconn.StripHop(resp.Header)
+	return resp
+}
+
+// record writes the line and the counters of a finished request.
+func (s *Service) record(now time.Time, q *request, resp *httpconn.Response, v *verdict) {
+	took := now.Sub(q.began)
+	s.took.Update(took.Seconds())
+	fields := logrus.Fields{
+		"request": q.wish.ID, "ms": took.Milliseconds(), "config_age_ms": q.age.Milliseconds(), "tried": q.tried,
+	}
+	if q.config != nil {
+		fields["config"] = q.config.Rules.Version
+	}
+	if q.route != nil {
+		fields["route"], fields["service"] = q.route.Name, q.call.Service
+	}
+	if q.org != nil {
+		fields["organisation"], fields["quota"] = q.org.Name, q.quota
+	}
+	if q.outcome != nil {
+		fields["last"] = call.Describe(q.outcome)
+	}
+	switch {
+	case v != nil:
+		fields["status"], fields["reason"], fields["after_ms"] = v.status, v.reason, v.after.Milliseconds()
+		s.Set.GetOrCreateCounter(fmt.Sprintf(`requests_refused_total{reason=%q}`, v.reason)).Inc()
+	case resp != nil:
+		fields["status"] = resp.Status
+		s.Set.GetOrCreateCounter(fmt.Sprintf(`requests_answered_total{status="%d"}`, resp.Status)).Inc()
+	}
+	s.Log.WithFields(fields).Info("request")
+}
+
+// decide answers a request or says why not.
+func (s *Service) decide(ctx context.Context, q *request) (*httpconn.Response, *verdict) {
+	if v := s.accept(q); v != nil {
+		return nil, v
+	}
+	q.until = q.began.Add(q.route.Timeout)
+	if q.wish.Left > 0 && q.wish.Left < q.route.Timeout {
+		q.until = q.began.Add(q.wish.Left)
+	}
+	if q.org != nil {
+		got := s.Allowance.Take(ctx, clock.Now(), q.org)
+		q.quota = got.String()
+		if got == allowance.Exceeded {
+			return nil, &verdict{http.StatusTooManyRequests, failure.RateExceeded, allowance.ComeBack()}
+		}
+	}
+	s.describe(q)
+	resp, v := s.place(ctx, q)
+	if v != nil && q.runs == 0 && q.quota == allowance.Taken.String() {
+		s.Allowance.Refund(clock.Now(), q.org)
+	}
+	return resp, v
+}
+
+// accept finds route and organisation, or refuses.
+func (s *Service) accept(q *request) *verdict {
+	if q.wish.ID == "" {
+		return &verdict{http.StatusBadRequest, failure.BadRequest, 0}
+	}
+	now := clock.Now()
+	q.config, q.age = s.Config.Get(), s.Config.Age(now)
+	if q.config == nil {
+		return &verdict{http.StatusServiceUnavailable, failure.NotReady, noConfigAfter}
+	}
+	stale := &verdict{http.StatusServiceUnavailable, "stale-config", staleAfter}
+	q.route = q.config.Rules.Lookup(q.in.Host, q.in.Path())
+	isStale := q.age > s.terms.Load().KeyAge
+	switch {
+	case q.route == nil && isStale:
+		return stale
+	case q.route == nil:
+		return &verdict{http.StatusNotFound, failure.NoRoute, 0}
+	case q.route.Open:
+		return nil
+	case isStale:
+		return stale
+	case q.wish.Key == "":
+		return &verdict{http.StatusUnauthorized, failure.NoKey, 0}
+	}
+	if q.org = q.config.Rules.ByKey(q.wish.Key); q.org == nil {
+		return &verdict{http.StatusUnauthorized, failure.BadKey, 0}
+	}
+	return nil
+}
+
+// importances of callers' requests by the rank of their route, the highest
+// first; calls of targets go before all of them.
+var importances = [...]manifest.Importance{manifest.High, manifest.Normal, manifest.Low}
+
+// describe makes the call that serving nodes get.
+func (s *Service) describe(q *request) {
+	c := call.Call{
+		ID: q.wish.ID, Route: q.route.Name, Caller: s.terms.Load().Service, Idempotent: q.route.Idempotent, Depth: 1,
+		Service: q.route.Pick(rules.Spread(q.config.Rules.Start(), s.serial.Add(1))),
+	}
+	wait := q.route.Objective / waitPart
+	now := clock.Now()
+	if q.org == nil {
+		c.Depth, wait = 2, q.route.Objective/innerWaitPart
+		c.Score = priority.New(manifest.Critical, 0)
+	} else {
+		c.Organisation = q.org.Name
+		order := q.route.Rank
+		if q.org.HasRank {
+			order = q.org.Rank
+		}
+		s.mu.Lock()
+		place := s.ranker.Rank(now, rank.Flow{Organisation: q.org.Name, Service: c.Service}, max(q.org.Rate, 1), rand.Float64())
+		s.mu.Unlock()
+		c.Score = priority.New(importances[min(max(order, 0), len(importances)-1)], place)
+	}
+	c.Patience = wait.Milliseconds()
+	q.call = c
+}
+
+// place sends the call to targets' nodes until one gives a final outcome.
+func (s *Service) place(ctx context.Context, q *request) (*httpconn.Response, *verdict) {
+	ctx, cancel := context.WithTimeout(ctx, q.until.Sub(clock.Now())+answerGrace)
+	defer cancel()
+	for {
+		now := clock.Now()
+		left := q.until.Sub(now)
+		if left <= 0 {
+			return nil, s.expired(q)
+		}
+		pick, refusal := s.choose(now, q)
+		if refusal != nil {
+			return nil, s.unplaced(q, refusal)
+		}
+		q.tried = append(q.tried, pick.Candidate.ID)
+		q.outcome = s.dispatch(ctx, now, q, pick)
+		resp, v, again := s.judge(ctx, q)
+		if !again {
+			return resp, v
+		}
+	}
+}
+
+func (s *Service) expired(q *request) *verdict {
+	if q.runs == 0 && !q.lost {
+		return &verdict{http.StatusServiceUnavailable, failure.Deadline, noTargetAfter}
+	}
+	return &verdict{http.StatusGatewayTimeout, failure.Deadline, 0}
+}
+
+// unplaced is the answer when no further node can be asked.
+func (s *Service) unplaced(q *request, r *failure.Refusal) *verdict {
+	if q.lost {
+		return &verdict{http.StatusBadGateway, failure.Lost, 0}
+	}
+	if refused, ok := q.outcome.(call.Refused); ok {
+		return &verdict{http.StatusServiceUnavailable, refused.Reason, after(refused.After)}
+	}
+	return &verdict{http.StatusServiceUnavailable, r.Reason, after(r.After)}
+}
+
+func after(d time.Duration) time.Duration {
+	if d <= 0 {
+		return noTargetAfter
+	}
+	return d
+}
+
+// judge decides whether an outcome is final.
+func (s *Service) judge(ctx context.Context, q *request) (*httpconn.Response, *verdict, bool) {
+	switch o := q.outcome.(type) {
+	case call.Answered:
+		q.runs++
+		if q.route.Idempotent && resend.Failed(o.Response.Status) && s.again(q) {
+			return nil, nil, true
+		}
+		return o.Response, nil, false
+	case call.Refused:
+		if o.Arrived {
+			q.runs++
+			if s.again(q) {
+				return nil, nil, true
+			}
+			return nil, &verdict{http.StatusServiceUnavailable, o.Reason, after(o.After)}, false
+		}
+		if len(q.tried) < places && ctx.Err() == nil {
+			return nil, nil, true
+		}
+		return nil, s.unplaced(q, failure.New(o.Reason, "")), false
+	case call.Lost:
+		q.runs, q.lost = q.runs+1, true
+		if ctx.Err() != nil || o.Reason == failure.Deadline {
+			return nil, s.expired(q), false
+		}
+		if q.route.Idempotent && s.again(q) {
+			return nil, nil, true
+		}
+		return nil, &verdict{http.StatusBadGateway, failure.Lost, 0}, false
+	}
+	return nil, &verdict{http.StatusBadGateway, failure.Broken, 0}, false
+}
+
+// again reports whether the request may go to one more target.
+func (s *Service) again(q *request) bool {
+	if q.runs >= max(q.route.Attempts, 1) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.extra.Extra(q.call.Service)
+}
+
+// choose picks the node to ask.
+func (s *Service) choose(now time.Time, q *request) (choice.Pick, *failure.Refusal) {
+	records := s.Roster.Serving(now, q.call.Service)
+	all := make([]choice.Candidate, 0, len(records))
+	for _, r := range records {
+		all = append(all, choice.Candidate{
+			ID: r.ID, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Since: s.Roster.Ready(r.ID), Failing: r.Failing,
+		})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pick, refusal := s.chooser.Choose(now, all, choice.Call{
+		Route: q.route.Name, Score: q.call.Score, Depth: q.call.Depth, Tried: q.tried,
+	})
+	if refusal == nil {
+		s.chooser.Sent(pick.Candidate.ID)
+	}
+	return pick, refusal
+}
+
+// dispatch sends the call to one node, this one included.
+func (s *Service) dispatch(ctx context.Context, now time.Time, q *request, pick choice.Pick) call.Outcome {
+	record, _ := s.Roster.Get(pick.Candidate.ID)
+	c := q.call.WithTarget(record.Instance, record.Born).WithLeft(q.until.Sub(now))
+	c.Forced = pick.Forced
+	if q.runs == 0 {
+		_, known := s.Roster.Running(now)
+		s.mu.Lock()
+		s.extra.First(c.Service, known)
+		s.mu.Unlock()
+	}
+	if record.ID == s.Roster.Self().ID {
+		outcome := s.Guard.Run(ctx, now, c, q.in)
+		s.answered(record.ID, q, s.Guard.Load())
+		return outcome
+	}
+	return s.remote(ctx, c, q, record.ID, pick.Candidate.Address)
+}
+
+// remote sends the call to another node.
+func (s *Service) remote(ctx context.Context, c call.Call, q *request, id, address string) call.Outcome {
+	out := *q.in
+	out.Header = q.in.Header.Clone()
+	httpconn.StripHop(out.Header)
+	if err := c.Put(out.Header); err != nil {
+		s.withdrawn(id)
+		return call.Refused{Reason: failure.BadRequest}
+	}
+	resp, err := s.pool(address).Do(ctx, &out, 0)
+	if err == nil {
+		outcome, load, decodeErr := call.Decode(resp)
+		if decodeErr == nil {
+			s.answered(id, q, load)
+			return outcome
+		}
+		err = decodeErr
+	}
+	if ctx.Err() != nil {
+		s.withdrawn(id)
+		return call.Lost{Reason: failure.Deadline, Err: err}
+	}
+	s.mu.Lock()
+	s.chooser.Failed(clock.Now(), id)
+	s.mu.Unlock()
+	s.Log.WithError(err).WithFields(logrus.Fields{"request": c.ID, "peer": address, "member": id}).Warn("peer did not answer")
+	if errors.Is(err, httpconn.ErrNotSent) {
+		return call.Refused{Reason: failure.NotReady, After: noTargetAfter}
+	}
+	return call.Lost{Reason: failure.Lost, Err: err}
+}
+
+func (s *Service) answered(id string, q *request, load call.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.Answered(clock.Now(), id, choice.Report{Route: q.route.Name, Load: load.Load, Cut: load.Cut})
+}
+
+func (s *Service) withdrawn(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.Withdrawn(id)
+}
+
+func (s *Service) pool(address string) *httpconn.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.pools[address]
+	if !ok {
+		p = httpconn.NewPool(address, httpconn.Options{DialTimeout: peerDial, MaxIdle: peerIdle, MaxAnswer: maxAnswer})
+		s.pools[address] = p
+	}
+	return p
+}
+
+// sweepEvery is the time between looks for pools and estimates that are not
+// used any more.
+const sweepEvery = 10 * time.Second
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Start implements kernel.Service.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	k.Go(func(ctx context.Context) error {
+		ticker := time.NewTicker(sweepEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				s.sweep(clock.Now())
+			}
+		}
+	})
+	return nil
+}
+
+// sweep forgets what belongs to members that are gone.
+func (s *Service) sweep(now time.Time) {
+	present := func(id string) bool {
+		r, ok := s.Roster.Get(id)
+		return ok && !r.Gone()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ranker.Forget(now)
+	s.chooser.Keep(present)
+	if len(s.pools) > poolsKept {
+		for address, p := range s.pools {
+			p.Reset()
+			delete(s.pools, address)
+		}
+	}
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error { return nil }
+
+// State implements kernel.Service.
+func (s *Service) State() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dials := uint64(0)
+	for _, p := range s.pools {
+		dials += p.Dials()
+	}
+	return struct {
+		Requests uint64 `json:"requests"`
+		Peers    int    `json:"peers"`
+		Dials    uint64 `json:"connections"`
+	}{s.serial.Load(), len(s.pools), dials}
+}
