--- a/internal/config/settings/mesh.go
+++ b/internal/config/settings/mesh.go
@@ -51,6 +51,8 @@
 	Announcements string `json:"announcements"`
 	Datagrams     string `json:"datagrams"`
 	Operators     string `json:"operators"`
+	// Metrics is a second address of the metrics, if one is wanted.
+	Metrics string `json:"metrics,omitempty"`
 	// Store is where the platform keeps objects, IP:port.
 	Store string `json:"store"`
 	// Grace is the time from the signal to stop to the end by force.
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -152,6 +152,9 @@
 	n.kernelHTTP(n.settings.Ready, seams.Ready(n.isReady))
 	n.kernelHTTP(n.settings.Announcements, seams.Announcements(n.guard, n.settings.Target, clock.Now, n.named("announcements")))
 	n.kernelHTTP(n.settings.Operators, n.operators())
+	if n.settings.Metrics != "" {
+		n.kernelHTTP(n.settings.Metrics, n.metrics())
+	}
 	return nil
 }
 
--- a/internal/mesh/node/operators.go
+++ b/internal/mesh/node/operators.go
@@ -11,10 +11,7 @@
 // operators serves metrics, the state dump and the configuration's text.
 func (n *Node) operators() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		n.set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
+	mux.Handle("GET /metrics", n.metrics())
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		enc := json.NewEncoder(w)
@@ -26,3 +23,10 @@
 	mux.Handle("GET "+follow.ConfigPath, n.config)
 	return mux
 }
+
+func (n *Node) metrics() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+}
