--- a/internal/config/settings/mesh.go
+++ b/internal/config/settings/mesh.go
@@ -92,8 +92,14 @@
 		}
 	}
 	for _, f := range []struct{ name, value string }{
-		{"target", m.Target}, {"callers", m.Callers}, {"peers", m.Peers}, {"ready", m.Ready},
-		{"announcements", m.Announcements}, {"datagrams", m.Datagrams}, {"operators", m.Operators}, {"store", m.Store},
+		{"target", m.Target},
+		{"callers", m.Callers},
+		{"peers", m.Peers},
+		{"ready", m.Ready},
+		{"announcements", m.Announcements},
+		{"datagrams", m.Datagrams},
+		{"operators", m.Operators},
+		{"store", m.Store},
 	} {
 		if _, _, err := net.SplitHostPort(f.value); err != nil {
 			add(f.name, "must be IP:port, got %q", f.value)
--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -36,9 +36,15 @@
 	settleTime = 1200 * time.Millisecond
 	// drawEvery bounds how often a node asks the holder.
 	drawEvery = 20 * time.Millisecond
-	// drawPatience is how long a request waits for an answer of the holder:
-	// several times a way between zones and back.
-	drawPatience = 60 * time.Millisecond
+	// redrawAfter is when a draw without an answer is sent again: several times
+	// a way between zones and back.
+	redrawAfter = 40 * time.Millisecond
+	// drawPatience is how long a request waits for an answer of the holder: two
+	// lost datagrams.
+	drawPatience = 120 * time.Millisecond
+	// missingAfter is how long a holder gives no answer before the standing
+	// share is used.
+	missingAfter = 300 * time.Millisecond
 	// standingPart is the part of an organisation's rate that all nodes
 	// together may spend without a holder. With a third of the nodes cut off
 	// it is an eighth of the rate, about the tolerated overage.
@@ -46,10 +52,9 @@
 	// standingBurst is the number of tokens that a node's standing share holds
 	// at most.
 	standingBurst = 2
-	// ratePart and extraBurst are what is granted beyond rate and burst: half of
-	// the tolerated overage, for tokens that expire unused at their drawers.
-	ratePart   = 1.05
-	extraBurst = 8
+	// overage is the tolerated part over rate and burst, as the platform's
+	// bounds state it; what they allow beside it stays a margin.
+	overage = 1.1
 	// comeBack is when a caller over the rate is asked to return.
 	comeBack = 700 * time.Millisecond
 )
@@ -110,14 +115,15 @@
 	config *follow.Service
 	log    *logrus.Entry
 
-	mu       sync.Mutex
-	began    time.Time
-	claim    claim
-	parts    map[string]*bucket.Part
-	purses   map[string]*purse
-	asked    time.Time
-	drawing  bool
-	answered time.Time
+	mu      sync.Mutex
+	began   time.Time
+	claim   claim
+	parts   map[string]*bucket.Part
+	purses  map[string]*purse
+	asked   time.Time
+	drawing bool
+	// unanswered is when the first draw was sent that had no answer since.
+	unanswered time.Time
 }
 
 // New returns a service without a holder.
@@ -161,6 +167,10 @@
 		s.mu.Unlock()
 		return Taken
 	}
+	if p.IsDry(now) {
+		s.mu.Unlock()
+		return Exceeded
+	}
 	p.waiting++
 	var filled <-chan struct{} = p.filled
 	s.ask(now)
@@ -194,12 +204,21 @@
 		return Taken, p.filled
 	case !p.dryAt.Before(began):
 		return Exceeded, p.filled
-	case now.Sub(began) >= drawPatience && s.standing(now, org, p):
+	case s.holderMissing(now) && s.standing(now, org, p):
 		return Standing, p.filled
 	}
 	return Exceeded, p.filled
 }
 
+// holderMissing reports whether draws have gone unanswered for long. The mutex
+// is held.
+func (s *Service) holderMissing(now time.Time) bool {
+	if s.claim.Holder == "" {
+		return true
+	}
+	return !s.unanswered.IsZero() && now.Sub(s.unanswered) > missingAfter
+}
+
 // standing spends from this node's share that needs no holder. The mutex is
 // held.
 func (s *Service) standing(now time.Time, org *rules.Organisation, p *purse) bool {
@@ -239,11 +258,16 @@
 
 // ask starts a draw unless one is under way. The mutex is held.
 func (s *Service) ask(now time.Time) {
+	s.askAfter(max(0, drawEvery-now.Sub(s.asked)))
+}
+
+// askAfter starts a draw after a wait unless one is to come already. The mutex
+// is held.
+func (s *Service) askAfter(wait time.Duration) {
 	if s.drawing {
 		return
 	}
 	s.drawing = true
-	wait := max(0, drawEvery-now.Sub(s.asked))
 	time.AfterFunc(wait, func() { s.draw(clock.Now()) })
 }
 
@@ -257,17 +281,22 @@
 	again := false
 	for name, p := range s.purses {
 		if want := p.Want(now, p.waiting); want > 0 {
-			m.Draws = append(m.Draws, draw{name, p.Ask(self, bucket.Source{Epoch: holder.Epoch}, want)})
+			ask := p.Ask(self, bucket.Source{Epoch: holder.Epoch}, want)
+			ask.Now = p.waiting
+			m.Draws = append(m.Draws, draw{name, ask})
 			again = again || p.waiting > 0
 		}
 	}
 	if again && holder.Holder != self {
-		s.ask(now)
+		s.askAfter(redrawAfter)
 	}
 	if len(m.Draws) == 0 || holder.Holder == "" {
 		s.mu.Unlock()
 		return
 	}
+	if s.unanswered.IsZero() {
+		s.unanswered = now
+	}
 	if holder.Holder == self {
 		s.fill(now, s.grant(now, self, m))
 		s.mu.Unlock()
@@ -299,7 +328,7 @@
 }
 
 func (s *Service) partOf(now time.Time, org *rules.Organisation) *bucket.Part {
-	terms := bucket.Terms{Rate: org.Rate * ratePart, Burst: org.Burst + extraBurst}
+	terms := bucket.Terms{Rate: org.Rate * overage, Burst: org.Burst * overage}
 	p, ok := s.parts[org.Name]
 	if !ok {
 		p = bucket.NewPart(now, terms, bucket.Whole)
@@ -312,7 +341,7 @@
 // fill takes grants. The mutex is held.
 func (s *Service) fill(now time.Time, m message) {
 	asked := time.Unix(0, m.Asked)
-	s.answered = now
+	s.unanswered = time.Time{}
 	for _, g := range m.Grants {
 		p, ok := s.purses[g.Organisation]
 		if !ok {
@@ -386,7 +415,7 @@
 // life of a token, which the next holder allows for. The mutex is held.
 func (s *Service) adopt(c claim) {
 	s.log.WithFields(logrus.Fields{"holder": c.Holder, "epoch": c.Epoch, "was": s.claim.Holder}).Info("holder of the rates changed")
-	s.claim = c
+	s.claim, s.unanswered = c, time.Time{}
 	clear(s.parts)
 }
 
--- a/internal/policy/bucket/bucket.go
+++ b/internal/policy/bucket/bucket.go
@@ -209,6 +209,9 @@
 	Drawer string `json:"drawer"`
 	// Want is the number of tokens asked for.
 	Want int `json:"want"`
+	// Now is how many of them are spent as soon as they are there, by requests
+	// that wait: they are never outstanding.
+	Now int `json:"now,omitempty"`
 	// Spent is how many tokens of earlier grants were used. Each is reported
 	// once: a report whose answer is lost is not sent again. Tokens that ran out
 	// are not given back: the part may have filled up since.
@@ -225,6 +228,8 @@
 type Grant struct {
 	ID     uint64 `json:"g"`
 	Tokens int    `json:"n"`
+	// Spent is how many of the tokens the holder counts as spent already.
+	Spent int `json:"s,omitempty"`
 }
 
 // Draw settles the drawer's earlier grants and grants whole tokens, at most as
@@ -233,14 +238,17 @@
 	p.refill(now)
 	p.settle(ask.Spent)
 	room := max(1, p.terms.Burst*p.claim.factor()*outShare) - p.ownOutstanding()
-	n := min(ask.Want, int(math.Floor(min(p.level, room)+1e-9)))
+	n := min(ask.Want, int(math.Floor(min(p.level, room+float64(ask.Now))+1e-9)))
 	if n <= 0 {
 		return Grant{}
 	}
 	p.level -= float64(n)
 	p.lastID++
-	p.grants = append(p.grants, grant{id: p.lastID, drawer: ask.Drawer, tokens: float64(n), until: now.Add(TokenLife)})
-	return Grant{ID: p.lastID, Tokens: n}
+	spent := min(n, ask.Now)
+	if n > spent {
+		p.grants = append(p.grants, grant{id: p.lastID, drawer: ask.Drawer, tokens: float64(n - spent), until: now.Add(TokenLife)})
+	}
+	return Grant{ID: p.lastID, Tokens: n, Spent: spent}
 }
 
 // settle takes used tokens off their grants. Those of an expired grant count as
--- a/internal/policy/bucket/purse.go
+++ b/internal/policy/bucket/purse.go
@@ -34,7 +34,9 @@
 	source Source
 	grant  uint64
 	tokens int
-	until  time.Time
+	// told is how many of them the holder counts as spent already.
+	told  int
+	until time.Time
 }
 
 // NewPurse returns an empty purse.
@@ -50,7 +52,11 @@
 			continue
 		}
 		b.tokens--
-		p.spend(b.source, b.grant)
+		if b.told > 0 {
+			b.told--
+		} else {
+			p.spend(b.source, b.grant)
+		}
 		return true
 	}
 	return false
@@ -129,9 +135,12 @@
 // Add puts drawn tokens into the purse. Asked is when the drawer began to ask.
 func (p *Purse) Add(asked time.Time, source Source, g Grant) {
 	if g.Tokens > 0 {
-		p.batches = append(p.batches, batch{source, g.ID, g.Tokens, asked.Add(TokenLife)})
+		p.batches = append(p.batches, batch{source, g.ID, g.Tokens, g.Spent, asked.Add(TokenLife)})
 	}
 }
 
 // Dry notes that no holder had a token.
 func (p *Purse) Dry(now time.Time) { p.dryTill = now.Add(dryWait) }
+
+// IsDry reports whether a holder said a moment ago that it has no token.
+func (p *Purse) IsDry(now time.Time) bool { return now.Before(p.dryTill) }
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -328,7 +328,6 @@
 	return call.Answered{Response: resp}
 }
 
-
 func (s *Service) done(now time.Time, id uint64, result gate.Result, failed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
