Rates: buckets fill from the election; a holder without a majority resigns; tests of the new parts

Cause: TestDemandWithinTheRate (virtual time) refused 19 requests at 95 % of the rate: a bucket began to fill with its first draw. TestHolderCutOff granted over the bound: a holder that was cut off went on granting to itself. Both red before.

--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -18,7 +18,6 @@
 
 	"chestnutshed.example/chestnutshed/internal/config/follow"
 	"chestnutshed.example/chestnutshed/internal/config/rules"
-	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/policy/bucket"
@@ -114,6 +113,7 @@
 	fleet  Fleet
 	config *follow.Service
 	log    *logrus.Entry
+	now    func() time.Time
 
 	mu      sync.Mutex
 	began   time.Time
@@ -122,14 +122,16 @@
 	purses  map[string]*purse
 	asked   time.Time
 	drawing bool
+	// minority is set while this node hears too few of the others to hold.
+	minority bool
 	// unanswered is when the first draw was sent that had no answer since.
 	unanswered time.Time
 }
 
-// New returns a service without a holder.
-func New(now time.Time, fleet Fleet, config *follow.Service, log *logrus.Entry) *Service {
+// New returns a service without a holder; now is its clock.
+func New(now func() time.Time, fleet Fleet, config *follow.Service, log *logrus.Entry) *Service {
 	return &Service{
-		fleet: fleet, config: config, log: log, began: now,
+		fleet: fleet, config: config, log: log, now: now, began: now(),
 		parts: map[string]*bucket.Part{}, purses: map[string]*purse{},
 	}
 }
@@ -187,7 +189,7 @@
 			waits = false
 		}
 		s.mu.Lock()
-		result, filled = s.retake(clock.Now(), now, org, p)
+		result, filled = s.retake(s.now(), now, org, p)
 		waits = waits && result == Exceeded && p.dryAt.Before(now)
 		s.mu.Unlock()
 	}
@@ -213,12 +215,18 @@
 // holderMissing reports whether draws have gone unanswered for long. The mutex
 // is held.
 func (s *Service) holderMissing(now time.Time) bool {
-	if s.claim.Holder == "" {
+	if s.claim.Holder == "" || s.resigned() {
 		return true
 	}
 	return !s.unanswered.IsZero() && now.Sub(s.unanswered) > missingAfter
 }
 
+// resigned reports whether this node is the holder but has lost touch with the
+// majority, which may follow another by now. The mutex is held.
+func (s *Service) resigned() bool {
+	return s.minority && s.claim.Holder == s.fleet.Self().ID
+}
+
 // standing spends from this node's share that needs no holder. The mutex is
 // held.
 func (s *Service) standing(now time.Time, org *rules.Organisation, p *purse) bool {
@@ -268,7 +276,7 @@
 		return
 	}
 	s.drawing = true
-	time.AfterFunc(wait, func() { s.draw(clock.Now()) })
+	time.AfterFunc(wait, func() { s.draw(s.now()) })
 }
 
 // draw asks the holder for what all purses want.
@@ -290,7 +298,7 @@
 	if again && holder.Holder != self {
 		s.askAfter(redrawAfter)
 	}
-	if len(m.Draws) == 0 || holder.Holder == "" {
+	if len(m.Draws) == 0 || holder.Holder == "" || s.resigned() {
 		s.mu.Unlock()
 		return
 	}
@@ -371,7 +379,7 @@
 		s.mu.Unlock()
 		return
 	}
-	if s.claim.Holder != s.fleet.Self().ID {
+	if s.claim.Holder != s.fleet.Self().ID || s.minority {
 		s.mu.Unlock()
 		return
 	}
@@ -426,15 +434,31 @@
 	ids, known := s.fleet.Running(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.minority = 2*len(ids) <= known
+	s.fillParts(now, self.ID)
 	if now.Sub(s.began) < settleTime || self.Leaving || s.holderRuns(now) {
 		return
 	}
-	if len(ids) == 0 || ids[0] != self.ID || 2*len(ids) <= known {
+	if len(ids) == 0 || ids[0] != self.ID || s.minority {
 		return
 	}
 	s.adopt(claim{Epoch: s.claim.Epoch + 1, Holder: self.ID})
 }
 
+// fillParts lets the buckets of all organisations fill up from when this node
+// became holder, whether or not anybody draws. The mutex is held.
+func (s *Service) fillParts(now time.Time, self string) {
+	c := s.config.Get()
+	if c == nil || s.claim.Holder != self {
+		return
+	}
+	for i := range c.Rules.Organisations {
+		if org := &c.Rules.Organisations[i]; org.Rate > 0 {
+			s.partOf(now, org)
+		}
+	}
+}
+
 // holderRuns reports whether the holder seems to run. The mutex is held.
 func (s *Service) holderRuns(now time.Time) bool {
 	if s.claim.Holder == "" {
@@ -460,7 +484,7 @@
 			case <-ctx.Done():
 				return nil
 			case <-ticker.C:
-				s.elect(clock.Now())
+				s.elect(s.now())
 			}
 		}
 	})
@@ -474,7 +498,7 @@
 func (s *Service) State() any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, levels := clock.Now(), map[string]string{}
+	now, levels := s.now(), map[string]string{}
 	for name, p := range s.parts {
 		levels[name] = fmt.Sprintf("%.0f, %.0f outstanding", p.Level(now), p.Outstanding())
 	}
--- /dev/null
+++ b/internal/fleet/allowance/allowance_test.go
@@ -0,0 +1,247 @@
+package allowance_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/follow"
+	"chestnutshed.example/chestnutshed/internal/config/rules"
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/allowance"
+	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+)
+
+var org = rules.Organisation{Name: "o", Rate: 100, Burst: 100}
+
+// source always has the one configuration.
+type source struct{}
+
+func (source) Current(context.Context) (follow.Snapshot, error) {
+	return follow.Snapshot{Text: []byte("1"), Revision: 1}, nil
+}
+
+func (source) Changes(ctx context.Context, _ uint64, wait time.Duration) (follow.Snapshot, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return follow.Snapshot{Revision: 1}, nil
+}
+
+func (source) Decode([]byte) (*rules.Set, error) {
+	return rules.New(1, nil, nil, []rules.Organisation{org}, rules.DefaultLimits())
+}
+
+// network joins the services of a test.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+}
+
+type node struct {
+	network *network
+	id      string
+	rates   *allowance.Service
+	// cut stops messages from and to the node.
+	cut bool
+}
+
+func (n *node) Name() string                                { return "roster" }
+func (n *node) Start(context.Context, *kernel.Kernel) error { return nil }
+func (n *node) Stop(context.Context) error                  { return nil }
+func (n *node) State() any                                  { return nil }
+func (n *node) ConfirmRank(time.Time) int                   { return 0 }
+func (n *node) SpreadVersion()                              {}
+func (n *node) Self() member.Record                         { return member.Record{ID: n.id} }
+func (n *node) Silent(_ time.Time, id string) bool          { return !n.network.reach(n.id, id) }
+
+func (n *node) Running(time.Time) ([]string, int) {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	var ids []string
+	for id, other := range n.network.nodes {
+		if id == n.id || (!n.cut && !other.cut) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids, len(n.network.nodes)
+}
+
+func (n *node) Get(id string) (member.Record, bool) { return member.Record{ID: id}, true }
+
+func (n *node) Send(_ time.Time, id, _ string, body any) error {
+	text, err := json.Marshal(body)
+	if err != nil || !n.network.reach(n.id, id) {
+		return err
+	}
+	time.AfterFunc(3*time.Millisecond, func() { n.network.nodes[id].rates.Message(time.Now(), n.id, text) })
+	return nil
+}
+
+func (w *network) reach(a, b string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return a == b || (!w.nodes[a].cut && !w.nodes[b].cut)
+}
+
+func (w *network) cut(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nodes[id].cut = true
+}
+
+// notes passes claims between nodes, as exchanges do.
+func (w *network) notes(ctx context.Context) {
+	for ctx.Err() == nil {
+		for id, n := range w.nodes {
+			note := n.rates.Note()
+			for other, o := range w.nodes {
+				if note != nil && w.reach(id, other) {
+					o.rates.Noted(time.Now(), id, note)
+				}
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func newNetwork(t *testing.T, size int) *network {
+	t.Helper()
+	w := &network{nodes: map[string]*node{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range size {
+		n := &node{network: w, id: fmt.Sprintf("n%02d", i)}
+		w.nodes[n.id] = n
+		config := follow.New(source{}, logrus.NewEntry(log))
+		n.rates = allowance.New(time.Now, n, config, logrus.NewEntry(log))
+		k := kernel.New()
+		for _, s := range []kernel.Service{n, config, n.rates} {
+			is.New(t).NoErr(k.Register(s))
+		}
+		is.New(t).NoErr(k.Start(context.Background()))
+		t.Cleanup(func() { _ = k.Stop(context.Background()) })
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.notes(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return w
+}
+
+// spend lets every node ask at a rate for a time and returns the tokens taken
+// and refused.
+func (w *network) spend(perNode float64, d time.Duration) (taken, refused int) {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	end := time.Now().Add(d)
+	for _, n := range w.nodes {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for time.Now().Before(end) {
+				group.Add(1)
+				go func() {
+					defer group.Done()
+					got := n.rates.Take(context.Background(), time.Now(), &org)
+					mu.Lock()
+					defer mu.Unlock()
+					if got == allowance.Exceeded {
+						refused++
+					} else {
+						taken++
+					}
+				}()
+				time.Sleep(time.Duration(float64(time.Second) / perNode))
+			}
+		}()
+	}
+	group.Wait()
+	return taken, refused
+}
+
+// allowed is what the platform tolerates in a window.
+func allowed(window time.Duration) int {
+	return int((org.Rate*window.Seconds()+org.Burst)*1.1 + 20)
+}
+
+// settle is the time until a holder is there and its buckets are full.
+const settle = 2800 * time.Millisecond
+
+func TestDemandWithinTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork(t, 12)
+		time.Sleep(settle)
+		// Small demands at many nodes: nothing can be drawn ahead.
+		taken, refused := w.spend(org.Rate*0.95/12, 3*time.Second)
+		is.True(taken > 200)
+		is.Equal(refused, 0)
+	})
+}
+
+func TestHotOrganisation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork(t, 12)
+		time.Sleep(settle)
+		window := 3 * time.Second
+		taken, refused := w.spend(org.Rate*8/12, window)
+		is.True(refused > 0)
+		is.True(taken <= allowed(window))
+		is.True(float64(taken) >= org.Rate*window.Seconds()) // the rate itself is granted
+	})
+}
+
+// A third of the nodes are cut off one by one, each with callers over the rate.
+func TestNodesCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork(t, 12)
+		time.Sleep(settle)
+		for i := 8; i < 12; i++ {
+			w.cut(fmt.Sprintf("n%02d", i))
+		}
+		window := 3 * time.Second
+		taken, _ := w.spend(org.Rate*8/12, window)
+		is.True(taken <= allowed(window))
+	})
+}
+
+// The holder goes; its successor grants nothing twice, and soon the rate.
+func TestHolderCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork(t, 12)
+		time.Sleep(settle)
+		w.cut("n00")
+		window := 4 * time.Second
+		taken, _ := w.spend(org.Rate*8/12, window)
+		is.True(taken <= allowed(window))
+		is.True(float64(taken) >= org.Rate*window.Seconds()*0.5)
+	})
+}
+
+func TestNoLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork(t, 1)
+		is.Equal(w.nodes["n00"].rates.Take(context.Background(), time.Now(), &rules.Organisation{Name: "free"}), allowance.Taken)
+	})
+}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open roster: %w", err)
 	}
-	n.rates = allowance.New(now, n.roster, n.config, n.named(allowance.Name))
+	n.rates = allowance.New(clock.Now, n.roster, n.config, n.named(allowance.Name))
 	n.roster.Share(allowance.Name, n.rates)
 	n.guard = guard.New(s.Target, seams.Dialect, n.announced, n.set, n.named(guard.Name))
 	n.relay = relay.New(s.Zone, n.terms(s), relay.Parts{
--- /dev/null
+++ b/internal/policy/lifecycle/lifecycle_test.go
@@ -0,0 +1,89 @@
+package lifecycle_test
+
+import (
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+func announced(id string, born, sequence int64, leaving bool) lifecycle.Announcement {
+	return lifecycle.Announcement{ID: id, Born: born, Service: "s", Slots: 4, Sequence: sequence, Leaving: leaving}
+}
+
+func TestAnnouncements(t *testing.T) {
+	ready := lifecycle.Target{}
+	ready, _ = ready.WithAnnouncement(start, announced("a", 10, 5, false))
+	leaving, _ := ready.WithAnnouncement(start, announced("a", 10, 6, true))
+	gone, _ := ready.WithLeave(start, "a", 10)
+	for _, test := range []struct {
+		name string
+		from lifecycle.Target
+		a    lifecycle.Announcement
+		want lifecycle.State
+		id   string
+		born int64
+	}{
+		{"first", lifecycle.Target{}, announced("a", 10, 1, false), lifecycle.Ready, "a", 10},
+		{"starts to leave", ready, announced("a", 10, 6, true), lifecycle.Leaving, "a", 10},
+		{"late one of the same incarnation", leaving, announced("a", 10, 4, false), lifecycle.Leaving, "a", 10},
+		{"ready after a leave", leaving, announced("a", 10, 7, false), lifecycle.Leaving, "a", 10},
+		{"after signing off", gone, announced("a", 10, 9, false), lifecycle.Gone, "a", 10},
+		{"older incarnation at the address", ready, announced("b", 9, 50, false), lifecycle.Ready, "a", 10},
+		{"newer incarnation", gone, announced("b", 11, 1, false), lifecycle.Ready, "b", 11},
+		{"reborn under the same ID", leaving, announced("a", 12, 1, false), lifecycle.Ready, "a", 12},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			got, _ := test.from.WithAnnouncement(start.Add(time.Second), test.a)
+			is.Equal(got.State, test.want)
+			is.True(got.Is(test.id, test.born))
+		})
+	}
+}
+
+func TestLeaves(t *testing.T) {
+	ready, _ := lifecycle.Target{}.WithAnnouncement(start, announced("a", 10, 5, false))
+	for _, test := range []struct {
+		name string
+		from lifecycle.Target
+		id   string
+		born int64
+		want lifecycle.State
+	}{
+		{"own", ready, "a", 10, lifecycle.Gone},
+		{"without a start", ready, "a", 0, lifecycle.Gone},
+		{"of an older incarnation", ready, "a", 9, lifecycle.Ready},
+		{"of another target", ready, "b", 10, lifecycle.Ready},
+		{"before any announcement", lifecycle.Target{}, "a", 10, lifecycle.Gone},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			got, _ := test.from.WithLeave(start, test.id, test.born)
+			is.Equal(got.State, test.want)
+		})
+	}
+	t.Run("a late announcement does not undo one that came first", func(t *testing.T) {
+		is := is.New(t)
+		left, _ := lifecycle.Target{}.WithLeave(start, "a", 10)
+		got, _ := left.WithAnnouncement(start, announced("a", 10, 3, false))
+		is.Equal(got.State, lifecycle.Gone)
+		is.Equal(got.Slots(), 0)
+	})
+}
+
+func TestValidate(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(announced("a", 10, 1, false).Validate())
+	for _, bad := range []lifecycle.Announcement{
+		{Born: 1, Service: "s"},
+		{ID: "a", Service: "s"},
+		{ID: "a", Born: 1},
+		{ID: "a", Born: 1, Service: "s", Slots: -1},
+	} {
+		is.True(bad.Validate() != nil)
+	}
+}
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -290,7 +290,7 @@
 	resp, err := s.pool.Do(ctx, &out, maxAge)
 	now := clock.Now()
 	s.took.Update(now.Sub(began).Seconds())
-	outcome := s.judge(now, id, c, ctx, resp, err)
+	outcome := s.judge(ctx, now, id, resp, err)
 	if _, whole := outcome.(call.Answered); !whole {
 		s.losses.Inc()
 		s.log.WithFields(logrus.Fields{
@@ -302,7 +302,7 @@
 }
 
 // judge classifies what came from the target.
-func (s *Service) judge(now time.Time, id uint64, c call.Call, ctx context.Context, resp *httpconn.Response, err error) call.Outcome {
+func (s *Service) judge(ctx context.Context, now time.Time, id uint64, resp *httpconn.Response, err error) call.Outcome {
 	switch {
 	case errors.Is(err, httpconn.ErrNotSent):
 		s.done(now, id, gate.Aborted, true)
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -183,6 +183,7 @@
 	} else {
 		sent <- nil
 	}
+	strange := false
 	for range foreign {
 		resp, keep, err = c.readAnswer(r.Method, o)
 		if err != nil {
@@ -192,7 +193,7 @@
 			break
 		}
 		// An answer to an earlier request; ours is behind it.
-		resp = nil
+		resp, strange = nil, true
 	}
 	if resp == nil {
 		return nil, false, errors.New("the answers belong to other requests")
@@ -203,7 +204,7 @@
 	case <-time.After(bodyTail):
 		keep = false
 	}
-	return resp, keep && c.in.Buffered() == 0, nil
+	return resp, keep && !strange && c.in.Buffered() == 0, nil
 }
 
 // bodyTail is how long the rest of a body may take once the answer is there.
