--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -32,17 +32,20 @@
 const ConfigPath = "/config"
 
 const (
-	// watchWait is how long one call waits at the store; it bounds the age of a
+	// Parts of the greatest age at which a confirmation is of use.
+
+	// waitPart is how long one call waits at the store; it bounds the age of a
 	// confirmation at a confirmer.
-	watchWait = time.Second
+	waitPart = 0.2
+	// firstPart is the age of the newest confirmation at which the first node of
+	// a zone asks the store itself, and stepPart what each further node adds.
+	firstPart = 0.06
+	stepPart  = 0.18
+	// askPart is the age at which any node asks the store.
+	askPart = 0.54
+
 	// callTimeout bounds a call beyond its wait.
 	callTimeout = 1200 * time.Millisecond
-	// firstAge is the age of the newest confirmation at which the first node of
-	// a zone asks the store itself, and stepAge what each further node adds.
-	firstAge = 300 * time.Millisecond
-	stepAge  = 900 * time.Millisecond
-	// askAge is the age at which any node asks the store.
-	askAge = 2700 * time.Millisecond
 	// lookEvery is the time between looks whether to ask.
 	lookEvery = 100 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait after a failed call.
@@ -94,6 +97,7 @@
 // Service keeps the configuration.
 type Service struct {
 	source Source
+	bound  time.Duration
 	log    *logrus.Entry
 	offers *ring.Ring[string]
 	client *http.Client
@@ -111,10 +115,11 @@
 	resume   time.Time
 }
 
-// New returns the service without a configuration.
-func New(source Source, log *logrus.Entry) *Service {
+// New returns the service without a configuration. Bound is how old a
+// confirmation may be where it counts most; it sets the pace of the calls.
+func New(source Source, bound time.Duration, log *logrus.Entry) *Service {
 	return &Service{
-		source: source, log: log, offers: ring.New[string](offers),
+		source: source, bound: bound, log: log, offers: ring.New[string](offers),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}},
 		ready:  make(chan struct{}),
 	}
@@ -254,12 +259,15 @@
 		return true
 	}
 	age := s.Age(now)
-	return age > askAge || age > firstAge+time.Duration(fleet.ConfirmRank(now))*stepAge
+	rank := float64(fleet.ConfirmRank(now))
+	return age > s.part(askPart) || age > s.part(firstPart+rank*stepPart)
 }
 
+func (s *Service) part(p float64) time.Duration { return time.Duration(p * float64(s.bound)) }
+
 // ask makes one call to the store and takes what it says.
 func (s *Service) ask(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.part(waitPart)+callTimeout)
 	defer cancel()
 	s.mu.Lock()
 	since := s.revision
@@ -271,7 +279,7 @@
 	if since == 0 {
 		snap, err = s.source.Current(ctx)
 	} else {
-		snap, err = s.source.Changes(ctx, since, watchWait)
+		snap, err = s.source.Changes(ctx, since, s.part(waitPart))
 	}
 	if err != nil {
 		if errors.Is(err, ErrHistoryGone) {
--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -88,7 +88,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := follow.New(src, logrus.NewEntry(log))
+	s := follow.New(src, 5*time.Second, logrus.NewEntry(log))
 	k := kernel.New()
 	is.New(t).NoErr(k.Register(&fleet{rank: rank}))
 	is.New(t).NoErr(k.Register(s))
--- a/internal/fleet/allowance/allowance_test.go
+++ b/internal/fleet/allowance/allowance_test.go
@@ -123,7 +123,7 @@
 	for i := range size {
 		n := &node{network: w, id: fmt.Sprintf("n%02d", i)}
 		w.nodes[n.id] = n
-		config := follow.New(source{}, logrus.NewEntry(log))
+		config := follow.New(source{}, 5*time.Second, logrus.NewEntry(log))
 		n.rates = allowance.New(time.Now, n, config, logrus.NewEntry(log))
 		k := kernel.New()
 		for _, s := range []kernel.Service{n, config, n.rates} {
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -81,7 +81,7 @@
 		debug.SetMemoryLimit(int64(float64(s.Memory<<20) * memoryPart))
 	}
 	now := clock.Now()
-	n.config = follow.New(seams.Source, n.named(follow.Name))
+	n.config = follow.New(seams.Source, s.Revoke.Duration(), n.named(follow.Name))
 	var err error
 	n.roster, err = roster.New(now, roster.Options{Node: s.Node, Self: member.Record{
 		Address: s.Peers, Operators: s.Operators, Datagrams: s.Datagrams, Zone: s.Zone, Region: s.Region,
