--- a/internal/policy/choice/choice.go
+++ b/internal/policy/choice/choice.go
@@ -28,6 +28,18 @@
 	room = 0.9
 	// warmTime is how long a new target gets less than its share.
 	warmTime = 10 * time.Second
+	// holdLife is how long a reported time of service is believed; afterwards
+	// the candidate is tried as if it were as quick as the quickest.
+	holdLife = 5 * time.Second
+	// farPart is the part of a route's objective that a call must save for one
+	// to another availability zone: bytes between zones are paid for.
+	farPart = 0.08
+	// easy is the load up to which waiting for a slot is unlikely, and fullTime
+	// how many times the time of service a call takes at load 1.
+	easy     = 0.65
+	fullTime = 3.0
+	// waitTime is how many times of service each further unit of load adds.
+	waitTime = 8.0
 	// ejectAfter is the number of failures in a row that eject a candidate.
 	ejectAfter = 3
 	// minEject and maxEject bound how long a candidate is left out.
@@ -92,11 +104,19 @@
 	// calls of a route meet there, with the time of the latest news.
 	below map[string]heard
 	uses  map[string]map[string]time.Time
+	// holds are the times of service that candidates reported, by route.
+	holds map[string]map[string]hold
+}
+
+// hold is a mean time of service in seconds.
+type hold struct {
+	mean float64
+	at   time.Time
 }
 
 // New returns a chooser for a node in an availability zone.
 func New(zone string, random *rand.Rand) *Chooser {
-	return &Chooser{zone: zone, random: random, seen: map[string]*observed{}, below: map[string]heard{}, uses: map[string]map[string]time.Time{}}
+	return &Chooser{zone: zone, random: random, seen: map[string]*observed{}, below: map[string]heard{}, uses: map[string]map[string]time.Time{}, holds: map[string]map[string]hold{}}
 }
 
 // Call is what a choice is made for.
@@ -104,6 +124,8 @@
 	Route string
 	Score priority.Score
 	Depth int
+	// Objective is the time within which an answer is worth most.
+	Objective time.Duration
 	// Tried are the IDs of candidates that must not be taken again.
 	Tried []string
 }
@@ -138,6 +160,9 @@
 	if len(admitting) == 0 {
 		return Pick{}, failure.New(failure.Overload, "every target of the service is overloaded")
 	}
+	if quickest, ok := c.quickest(now, admitting, call); ok {
+		return Pick{Candidate: quickest, Forced: forced}, nil
+	}
 	return Pick{Candidate: c.better(now, c.near(now, admitting)), Forced: forced}, nil
 }
 
@@ -198,6 +223,52 @@
 	return all
 }
 
+// sampled is the number of candidates compared by their time of service.
+const sampled = 6
+
+// quickest returns the candidate with the least expected time for a call. It
+// returns false while no candidate's time of service is known.
+func (c *Chooser) quickest(now time.Time, all []Candidate, call Call) (Candidate, bool) {
+	best := 0.0
+	for _, k := range all {
+		if h, ok := c.holds[call.Route][k.ID]; ok && now.Sub(h.at) < holdLife && (best == 0 || h.mean < best) {
+			best = h.mean
+		}
+	}
+	if best == 0 {
+		return Candidate{}, false
+	}
+	var pick Candidate
+	least := 0.0
+	start := c.random.IntN(len(all))
+	for i := range min(len(all), sampled) {
+		k := all[(start+i)%len(all)]
+		cost := best
+		if h, ok := c.holds[call.Route][k.ID]; ok && now.Sub(h.at) < holdLife {
+			cost = h.mean
+		}
+		cost *= stretch(c.loadOf(now, k))
+		if k.Zone != c.zone {
+			cost += farPart * call.Objective.Seconds()
+		}
+		if pick.ID == "" || cost < least {
+			pick, least = k, cost
+		}
+	}
+	return pick, true
+}
+
+// stretch is how many times its time of service a call takes at a load.
+func stretch(load float64) float64 {
+	switch {
+	case load <= easy:
+		return 1
+	case load <= 1:
+		return 1 + (fullTime-1)*(load-easy)/(1-easy)
+	}
+	return fullTime + waitTime*(load-1)
+}
+
 // better compares two random candidates.
 func (c *Chooser) better(now time.Time, all []Candidate) Candidate {
 	if len(all) == 1 {
@@ -247,6 +318,9 @@
 	Load  float64
 	Cut   priority.Cut
 	Below []Below
+	// Hold is the candidate's mean time of service for the route in seconds; 0
+	// if it doesn't say.
+	Hold float64
 }
 
 // Answered notes an answer of the candidate's node, whatever it said.
@@ -256,6 +330,7 @@
 	o.load, o.loadAt = r.Load, now
 	o.cut = heard{cut: r.Cut, at: now}
 	c.learnBelow(now, r)
+	c.learnHold(now, id, r)
 	o.failures, o.ejections = 0, 0
 	o.outUntil = time.Time{}
 }
@@ -280,6 +355,16 @@
 	o.inFlight = max(0, o.inFlight-1)
 }
 
+func (c *Chooser) learnHold(now time.Time, id string, r Report) {
+	if r.Hold <= 0 {
+		return
+	}
+	if c.holds[r.Route] == nil {
+		c.holds[r.Route] = map[string]hold{}
+	}
+	c.holds[r.Route][id] = hold{r.Hold, now}
+}
+
 func (c *Chooser) learnBelow(now time.Time, r Report) {
 	if len(r.Below) > 0 && c.uses[r.Route] == nil {
 		c.uses[r.Route] = map[string]time.Time{}
@@ -321,6 +406,12 @@
 			delete(c.seen, id)
 		}
 	}
+	for route, holds := range c.holds {
+		maps.DeleteFunc(holds, func(id string, _ hold) bool { return !present(id) })
+		if len(holds) == 0 {
+			delete(c.holds, route)
+		}
+	}
 }
 
 // Known is the number of candidates remembered.
--- a/internal/policy/choice/choice_test.go
+++ b/internal/policy/choice/choice_test.go
@@ -17,7 +17,7 @@
 func chooser() *choice.Chooser { return choice.New("here", rand.New(rand.NewPCG(1, 1))) }
 
 func call() choice.Call {
-	return choice.Call{Route: "r", Score: priority.New(manifest.Normal, 5), Depth: 1}
+	return choice.Call{Route: "r", Score: priority.New(manifest.Normal, 5), Depth: 1, Objective: 250 * time.Millisecond}
 }
 
 // share counts how often each candidate is picked of 1000 calls.
@@ -96,3 +96,34 @@
 		}
 	}
 }
+
+// Targets of one service differ in speed: calls go to the quickest while it has
+// room, to the next as it fills, and the news is not believed for ever.
+func TestQuickestWhileItHasRoom(t *testing.T) {
+	is := is.New(t)
+	c := chooser()
+	all := []choice.Candidate{{ID: "quick", Zone: "there", Slots: 100}, {ID: "slow", Zone: "here", Slots: 100}}
+	told := func(quick, slow float64) {
+		c.Answered(start, "quick", choice.Report{Route: "r", Load: quick, Cut: priority.Open, Hold: 0.06})
+		c.Answered(start, "slow", choice.Report{Route: "r", Load: slow, Cut: priority.Open, Hold: 0.14})
+	}
+	told(0.2, 0.2)
+	is.Equal(share(c, start, all)["quick"], 1000)
+	told(1, 0.2)
+	is.Equal(share(c, start, all)["slow"], 1000)
+	told(1.5, 1)
+	is.Equal(share(c, start, all)["slow"], 1000)
+	told(0.2, 0.2)
+	is.True(share(c, start.Add(time.Minute), all)["slow"] > 0) // tried again when the news is old
+}
+
+// Of equally quick targets, the one in the own availability zone is taken.
+func TestEquallyQuickNearby(t *testing.T) {
+	is := is.New(t)
+	c := chooser()
+	all := []choice.Candidate{{ID: "far", Zone: "there", Slots: 100}, {ID: "near", Zone: "here", Slots: 100}}
+	for _, k := range all {
+		c.Answered(start, k.ID, choice.Report{Route: "r", Load: 0.3, Cut: priority.Open, Hold: 0.1})
+	}
+	is.Equal(share(c, start, all)["near"], 1000)
+}
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -89,6 +89,8 @@
 	Load float64 `json:"load"`
 	// Cut is the score up to which calls are admitted.
 	Cut priority.Cut `json:"cut"`
+	// Hold is the mean time that calls of the route hold a slot, in seconds.
+	Hold float64 `json:"hold,omitempty"`
 }
 
 // result is an outcome between nodes.
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -61,6 +61,7 @@
 	intake  *intake.Intake
 	target  lifecycle.Target
 	waiting map[uint64]chan step
+	holds   map[string]float64
 	downTil time.Time
 	closed  bool
 	lastID  atomic.Uint64
@@ -79,7 +80,7 @@
 func New(address string, d call.Dialect, heard Listener, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
 		dialect: d, log: log, heard: heard,
-		intake: intake.New(gate.Standard()), waiting: map[uint64]chan step{},
+		intake: intake.New(gate.Standard()), waiting: map[uint64]chan step{}, holds: map[string]float64{},
 		runs:     set.NewCounter("target_calls_total"),
 		refusals: set.NewCounter("target_refusals_total"),
 		losses:   set.NewCounter("target_losses_total"),
@@ -114,6 +115,7 @@
 		if !next.Is(before.Last.ID, before.Last.Born) {
 			s.intake.NewTarget()
 			s.downTil = time.Time{}
+			clear(s.holds)
 		}
 		s.signal(s.intake.SetSlots(now, s.slots()))
 	}
@@ -161,10 +163,25 @@
 }
 
 // Load is what callers' nodes are told of the target.
-func (s *Service) Load() call.Load {
+func (s *Service) Load(route string) call.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return call.Load{Load: s.intake.Load(), Cut: s.intake.Cut()}
+	return call.Load{Load: s.intake.Load(), Cut: s.intake.Cut(), Hold: s.holds[route]}
+}
+
+// holdWeight is the weight of the newest sample in a mean time of service: the
+// mean of about twenty calls, since times vary by as much as their mean.
+const holdWeight = 0.05
+
+// learnHold adds how long a call held its slot.
+func (s *Service) learnHold(route string, held time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	mean, ok := s.holds[route]
+	if !ok {
+		mean = held.Seconds()
+	}
+	s.holds[route] = mean + (held.Seconds()-mean)*holdWeight
 }
 
 func none(intake.Child) []choice.Below { return nil }
@@ -290,6 +307,9 @@
 	resp, err := s.pool.Do(ctx, &out, maxAge)
 	now := clock.Now()
 	s.took.Update(now.Sub(began).Seconds())
+	if resp != nil || ctx.Err() != nil {
+		s.learnHold(c.Route, now.Sub(began))
+	}
 	outcome := s.judge(ctx, now, id, resp, err)
 	if _, whole := outcome.(call.Answered); !whole {
 		s.losses.Inc()
@@ -373,7 +393,7 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	resp, err := call.Encode(outcome, s.Load())
+	resp, err := call.Encode(outcome, s.Load(c.Route))
 	if err != nil {
 		s.log.WithError(err).Error("result can't be written")
 		return nil
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -379,7 +379,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pick, refusal := s.chooser.Choose(now, all, choice.Call{
-		Route: q.route.Name, Score: q.call.Score, Depth: q.call.Depth, Tried: q.tried,
+		Route: q.route.Name, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Tried: q.tried,
 	})
 	if refusal == nil {
 		s.chooser.Sent(pick.Candidate.ID)
@@ -400,7 +400,7 @@
 	}
 	if record.ID == s.Roster.Self().ID {
 		outcome := s.Guard.Run(ctx, now, c, q.in)
-		s.answered(record.ID, q, s.Guard.Load())
+		s.answered(record.ID, q, s.Guard.Load(c.Route))
 		return outcome
 	}
 	return s.remote(ctx, c, q, record.ID, pick.Candidate.Address)
@@ -441,7 +441,7 @@
 func (s *Service) answered(id string, q *request, load call.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.chooser.Answered(clock.Now(), id, choice.Report{Route: q.route.Name, Load: load.Load, Cut: load.Cut})
+	s.chooser.Answered(clock.Now(), id, choice.Report{Route: q.route.Name, Load: load.Load, Cut: load.Cut, Hold: load.Hold})
 }
 
 func (s *Service) withdrawn(id string) {
