--- a/internal/config/settings/mesh.go
+++ b/internal/config/settings/mesh.go
@@ -42,6 +42,9 @@
 	Service string `json:"service"`
 	// Memory is what the process may use, in megabytes; 0 is no limit.
 	Memory int `json:"memory"`
+	// Files is the number of descriptors that the process may open; 0 is no
+	// limit.
+	Files int `json:"files"`
 	// Target, Callers, Peers, Ready, Announcements, Datagrams and Operators
 	// are addresses, IP:port.
 	Target        string `json:"target"`
@@ -105,8 +108,8 @@
 			add(f.name, "must be IP:port, got %q", f.value)
 		}
 	}
-	if m.Grace < 0 || m.Revoke < 0 || m.Memory < 0 {
-		add("grace, revoke, memory", "must not be negative")
+	if m.Grace < 0 || m.Revoke < 0 || m.Memory < 0 || m.Files < 0 {
+		add("grace, revoke, memory, files", "must not be negative")
 	}
 	if m.Extra.Ratio < 0 || m.Extra.Slack < 0 {
 		add("extra", "ratio and slack must not be negative")
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -43,6 +43,9 @@
 	// memoryPart is the part of the memory limit at which the collector works
 	// harder.
 	memoryPart = 0.6
+	// collectAt is the garbage in percent of the live heap at which the collector
+	// runs: memory costs users more here than processor time.
+	collectAt = 50
 	// httpTimeout bounds the side listeners' requests.
 	httpTimeout = 3 * time.Second
 )
@@ -77,6 +80,7 @@
 // New assembles a node and opens its listeners.
 func New(s settings.Mesh, seams Seams, log *logrus.Logger) (*Node, error) {
 	n := &Node{settings: s, log: log.WithField("node", s.Node), kernel: kernel.New(), set: metrics.NewSet()}
+	debug.SetGCPercent(collectAt)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory<<20) * memoryPart))
 	}
@@ -123,7 +127,7 @@
 	if c := n.config.Get(); c != nil {
 		l = c.Rules.Limits
 	}
-	return httpconn.Limits{Header: l.Header, Body: l.Body, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+	return httpconn.Limits{Header: l.Header, Body: l.Body, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, Connections: n.settings.Files / callersPart}
 }
 
 // peerLimits leave room for what nodes add, and keep connections for long.
@@ -131,12 +135,17 @@
 	l := n.limits()
 	l.Header += peerHeader
 	l.IdleTimeout = peerIdle
+	l.Connections = n.settings.Files / peersPart
 	return l
 }
 
 const (
 	// peerHeader is the room for headers between nodes, in bytes.
 	peerHeader = 8 << 10
+	// callersPart and peersPart divide the descriptors: idle callers hold memory,
+	// and twice either number leaves a third for targets and calls to peers.
+	callersPart = 8
+	peersPart   = 6
 	// peerIdle is how long peers keep an idle connection open.
 	peerIdle = 30 * time.Second
 )
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -35,7 +35,7 @@
 	// maxAnswer bounds a target's answer, in bytes.
 	maxAnswer = 32 << 20
 	// maxIdle bounds the idle connections to the target.
-	maxIdle = 256
+	maxIdle = 128
 	// freshFor is how long an idle connection is used for requests that can't
 	// be sent again; an older one may be closed while they are on their way.
 	freshFor = 700 * time.Millisecond
@@ -80,7 +80,7 @@
 func New(address string, d call.Dialect, heard Listener, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
 		dialect: d, log: log, heard: heard,
-		intake: intake.New(gate.Standard()), waiting: map[uint64]chan step{}, holds: map[string]float64{},
+		intake: intake.New(gate.Sidecar()), waiting: map[uint64]chan step{}, holds: map[string]float64{},
 		runs:     set.NewCounter("target_calls_total"),
 		refusals: set.NewCounter("target_refusals_total"),
 		losses:   set.NewCounter("target_losses_total"),
--- a/internal/traffic/httpconn/httpconn_test.go
+++ b/internal/traffic/httpconn/httpconn_test.go
@@ -20,7 +20,7 @@
 const patience = 5 * time.Second
 
 func limits() httpconn.Limits {
-	return httpconn.Limits{Header: 1 << 10, Body: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: patience}
+	return httpconn.Limits{Header: 1 << 10, Body: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: patience, Connections: 8}
 }
 
 func serve(t *testing.T, h httpconn.Handler) *httpconn.Server {
@@ -281,3 +281,38 @@
 	is.NoErr(err)
 	is.Equal(p.Dials(), uint64(2))
 }
+
+// Callers that come back on a new connection each time don't use up the
+// descriptors: answers close their connections once there are many, and idle
+// ones make room.
+func TestManyConnections(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(context.Context, *httpconn.Request) *httpconn.Response {
+		return &httpconn.Response{Status: 200}
+	})
+	closed, open := 0, 0
+	for range 40 {
+		c, in := dial(t, s.Address())
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, _ := read(t, in)
+		is.Equal(resp.StatusCode, 200)
+		if resp.Close {
+			closed++
+		}
+	}
+	is.True(closed >= 24)
+	var idle []net.Conn
+	for range 40 {
+		c, _ := dial(t, s.Address())
+		idle = append(idle, c)
+	}
+	time.Sleep(50 * time.Millisecond)
+	for _, c := range idle {
+		_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if _, err := c.Read(make([]byte, 1)); errors.Is(err, io.EOF) {
+			continue
+		}
+		open++
+	}
+	is.True(open <= 20)
+}
--- a/internal/traffic/httpconn/server.go
+++ b/internal/traffic/httpconn/server.go
@@ -41,6 +41,9 @@
 	Body          int64
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
+	// Connections is the number of open connections from which answers close
+	// theirs; at twice that, idle ones are closed for new ones. 0 is no limit.
+	Connections int
 }
 
 // Server accepts connections on one address.
@@ -83,6 +86,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
+		s.makeRoom()
 		s.group.Add(1)
 		go func() {
 			defer s.group.Done()
@@ -91,6 +95,36 @@
 	}
 }
 
+// looked bounds the connections looked at for an idle one to close.
+const looked = 64
+
+// makeRoom closes an idle connection when there are too many.
+func (s *Server) makeRoom() {
+	most := 2 * s.limits().Connections
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if most == 0 || len(s.conns) < most {
+		return
+	}
+	n := 0
+	for c := range s.conns {
+		if n++; n > looked {
+			return
+		}
+		if c.closeIdle() {
+			return
+		}
+	}
+}
+
+// crowded reports whether answers should close their connections.
+func (s *Server) crowded() bool {
+	most := s.limits().Connections
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return most > 0 && len(s.conns) > most
+}
+
 // Drain makes every answer from now on close its connection.
 func (s *Server) Drain() {
 	s.mu.Lock()
@@ -121,12 +155,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.mu.Lock()
-		if c.open == 0 {
-			c.closing = true
-			_ = c.conn.Close()
-		}
-		c.mu.Unlock()
+		c.closeIdle()
 	}
 }
 
@@ -167,6 +196,18 @@
 	_ = conn.Close()
 }
 
+// closeIdle closes the connection unless it has a request without an answer.
+func (c *serverConn) closeIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open > 0 || c.closing {
+		return false
+	}
+	c.closing = true
+	_ = c.conn.Close()
+	return true
+}
+
 // drain lets the next answer close the connection. An idle one stays open
 // until its next request, so that none is lost on its way.
 func (c *serverConn) drain() {
@@ -318,6 +359,7 @@
 		resp = c.server.handler(ctx, req)
 	}
 	<-before
+	crowded := c.server.crowded()
 	if resp == nil {
 		gone()
 		_ = c.conn.Close()
@@ -328,7 +370,7 @@
 	if refusal != nil {
 		c.closing = true
 	}
-	if c.open == 0 && (c.draining || resp.Close) {
+	if c.open == 0 && (c.draining || resp.Close || crowded) {
 		c.closing = true
 	}
 	out := *resp
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -39,7 +39,7 @@
 	// peerDial bounds a connection to a peer: several round trips between zones.
 	peerDial = 250 * time.Millisecond
 	// peerIdle bounds the idle connections to one peer.
-	peerIdle = 64
+	peerIdle = 16
 	// maxAnswer bounds an answer's body, in bytes.
 	maxAnswer = 32 << 20
 	// places is the number of nodes that are asked for a slot.
