--- a/internal/policy/spare/spare.go
+++ b/internal/policy/spare/spare.go
@@ -11,11 +11,13 @@
 }
 
 const (
-	// ratioPart is the part of the ratio that nodes use: calls that a repeated
-	// run makes count too, and are not seen here.
-	ratioPart = 0.5
-	// slackPart is the part of the slack that nodes use, for the same reason.
-	slackPart = 0.5
+	// rootPart and innerPart are the parts of the ratio that callers' requests
+	// and calls of targets may use. A repeated run repeats its calls, so that the
+	// last service of a chain of four gets the sum: 0.3 + 3 x 0.2.
+	rootPart  = 0.3
+	innerPart = 0.2
+	// slackPart is the part of the slack that is used, for the same reason.
+	slackPart = 0.25
 )
 
 // Budget counts sends of one node. It is not safe for concurrent use.
@@ -32,14 +34,18 @@
 	return max(1, b.terms.Slack*slackPart/float64(max(nodes, 1)))
 }
 
-// First counts a first send to a service.
-func (b *Budget) First(service string, nodes int) {
+// First counts a first send to a service; inner tells calls of targets.
+func (b *Budget) First(service string, nodes int, inner bool) {
+	part := rootPart
+	if inner {
+		part = innerPart
+	}
 	most := b.burst(nodes)
 	credit, ok := b.credit[service]
 	if !ok {
 		credit = most
 	}
-	b.credit[service] = min(most, credit+b.terms.Ratio*ratioPart)
+	b.credit[service] = min(most, credit+b.terms.Ratio*part)
 }
 
 // Extra reports whether one more send to a service is allowed, and counts it.
--- a/internal/policy/spare/spare_test.go
+++ b/internal/policy/spare/spare_test.go
@@ -17,7 +17,7 @@
 		for range nodes {
 			b := spare.New(terms)
 			for range 200 {
-				b.First("s", nodes)
+				b.First("s", nodes, false)
 				first++
 				for b.Extra("s") {
 					extra++
@@ -32,3 +32,26 @@
 	is := is.New(t)
 	is.True(!spare.New(spare.Terms{Ratio: 1, Slack: 100}).Extra("never sent to"))
 }
+
+// In a chain of services in which every call is repeated as often as allowed,
+// the last one still stays within the bound.
+func TestChain(t *testing.T) {
+	is := is.New(t)
+	terms := spare.Terms{Ratio: 0.2, Slack: 48}
+	const depth, nodes, each = 4, 12, 500
+	repeated := 0.0
+	for level := range depth {
+		extra := 0
+		for range nodes {
+			b := spare.New(terms)
+			for range each {
+				b.First("s", nodes, level > 0)
+				for b.Extra("s") {
+					extra++
+				}
+			}
+		}
+		repeated += float64(extra) / (nodes * each)
+	}
+	is.True(repeated*nodes*each <= terms.Ratio*nodes*each+terms.Slack)
+}
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -62,7 +62,12 @@
 type Outcome interface{ outcome() }
 
 // Answered is a target's whole answer.
-type Answered struct{ Response *httpconn.Response }
+type Answered struct {
+	Response *httpconn.Response
+	// Inner is set when a call that the target made failed meanwhile: that was
+	// sent again already, where it may be.
+	Inner bool
+}
 
 // Refused means that the call did not run and never will.
 type Refused struct {
@@ -101,6 +106,7 @@
 	Reason  failure.Reason `json:"why,omitempty"`
 	After   int64          `json:"after,omitempty"`
 	Arrived bool           `json:"arrived,omitempty"`
+	Inner   bool           `json:"inner,omitempty"`
 	Detail  string         `json:"detail,omitempty"`
 }
 
@@ -130,7 +136,7 @@
 	resp := &httpconn.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
 	switch o := o.(type) {
 	case Answered:
-		r.Kind = "whole"
+		r.Kind, r.Inner = "whole", o.Inner
 		resp = &httpconn.Response{Status: o.Response.Status, Header: o.Response.Header, Body: o.Response.Body}
 	case Refused:
 		r.Kind, r.Reason, r.After, r.Arrived = "refused", o.Reason, o.After.Milliseconds(), o.Arrived
@@ -157,7 +163,7 @@
 	resp.Header.Del(resultHeader)
 	switch r.Kind {
 	case "whole":
-		return Answered{resp}, r.Load, nil
+		return Answered{resp, r.Inner}, r.Load, nil
 	case "refused":
 		return Refused{r.Reason, time.Duration(r.After) * time.Millisecond, r.Arrived}, r.Load, nil
 	case "lost":
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -61,10 +61,12 @@
 	intake  *intake.Intake
 	target  lifecycle.Target
 	waiting map[uint64]chan step
-	holds   map[string]float64
-	downTil time.Time
-	closed  bool
-	lastID  atomic.Uint64
+	// innerFailed is when a call of the target last failed.
+	innerFailed time.Time
+	holds       map[string]float64
+	downTil     time.Time
+	closed      bool
+	lastID      atomic.Uint64
 
 	runs, refusals, losses *metrics.Counter
 	took                   *metrics.Histogram
@@ -169,6 +171,13 @@
 	return call.Load{Load: s.intake.Load(), Cut: s.intake.Cut(), Hold: s.holds[route]}
 }
 
+// innerFailedSince reports whether a call of the target failed since a time.
+func (s *Service) innerFailedSince(began time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.innerFailed.Before(began)
+}
+
 // holdWeight is the weight of the newest sample in a mean time of service: the
 // mean of about twenty calls, since times vary by as much as their mean.
 const holdWeight = 0.05
@@ -310,7 +319,7 @@
 	if resp != nil || ctx.Err() != nil {
 		s.learnHold(c.Route, now.Sub(began))
 	}
-	outcome := s.judge(ctx, now, id, resp, err)
+	outcome := s.judge(ctx, began, now, id, resp, err)
 	if _, whole := outcome.(call.Answered); !whole {
 		s.losses.Inc()
 		s.log.WithFields(logrus.Fields{
@@ -322,7 +331,7 @@
 }
 
 // judge classifies what came from the target.
-func (s *Service) judge(ctx context.Context, now time.Time, id uint64, resp *httpconn.Response, err error) call.Outcome {
+func (s *Service) judge(ctx context.Context, began, now time.Time, id uint64, resp *httpconn.Response, err error) call.Outcome {
 	switch {
 	case errors.Is(err, httpconn.ErrNotSent):
 		s.done(now, id, gate.Aborted, true)
@@ -344,8 +353,11 @@
 		s.done(now, id, gate.Rejected, true)
 		return call.Refused{Reason: failure.Overload, After: leaveRetry, Arrived: true}
 	}
-	s.done(now, id, gate.Answered, resend.Failed(resp.Status))
-	return call.Answered{Response: resp}
+	failed := resend.Failed(resp.Status)
+	inner := failed && s.innerFailedSince(began)
+	// A target whose calls fail is not to blame.
+	s.done(now, id, gate.Answered, failed && !inner)
+	return call.Answered{Response: resp, Inner: inner}
 }
 
 func (s *Service) done(now time.Time, id uint64, result gate.Result, failed bool) {
@@ -360,6 +372,13 @@
 	}
 }
 
+// InnerFailed notes that a call which the target made did not succeed.
+func (s *Service) InnerFailed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.innerFailed = now
+}
+
 // Failing reports whether the target fails most requests.
 func (s *Service) Failing() bool {
 	s.mu.Lock()
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -163,6 +163,9 @@
 // record writes the line and the counters of a finished request.
 func (s *Service) record(now time.Time, q *request, resp *httpconn.Response, v *verdict) {
 	took := now.Sub(q.began)
+	if q.call.Depth > 1 && (v != nil || resp.Status >= http.StatusInternalServerError) {
+		s.Guard.InnerFailed(now)
+	}
 	s.took.Update(took.Seconds())
 	fields := logrus.Fields{
 		"request": q.wish.ID, "ms": took.Milliseconds(), "config_age_ms": q.age.Milliseconds(), "tried": q.tried,
@@ -328,7 +331,7 @@
 	switch o := q.outcome.(type) {
 	case call.Answered:
 		q.runs++
-		if q.route.Idempotent && resend.Failed(o.Response.Status) && s.again(q) {
+		if resend.Again(resend.Whole{Status: o.Response.Status, Inner: o.Inner}, q.route.Idempotent) && s.again(q) {
 			return nil, nil, true
 		}
 		return o.Response, nil, false
@@ -395,7 +398,7 @@
 	if q.runs == 0 {
 		_, known := s.Roster.Running(now)
 		s.mu.Lock()
-		s.extra.First(c.Service, known)
+		s.extra.First(c.Service, known, c.Depth > 1)
 		s.mu.Unlock()
 	}
 	if record.ID == s.Roster.Self().ID {
