--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -48,6 +48,10 @@
 	// together may spend without a holder. With a third of the nodes cut off
 	// it is an eighth of the rate, about the tolerated overage.
 	standingPart = 0.4
+	// freshPart is the same at a node that has heard of no holder since it
+	// started: its configuration came from the store or a peer, so that it is
+	// not cut off, and the whole fleet has started anew.
+	freshPart = 1.0
 	// standingBurst is the number of tokens that a node's standing share holds
 	// at most.
 	standingBurst = 2
@@ -173,6 +177,13 @@
 		s.mu.Unlock()
 		return Exceeded
 	}
+	if s.holderMissing(now) {
+		defer s.mu.Unlock()
+		if s.standing(now, org, p) {
+			return Standing
+		}
+		return Exceeded
+	}
 	p.waiting++
 	var filled <-chan struct{} = p.filled
 	s.ask(now)
@@ -231,7 +242,11 @@
 // held.
 func (s *Service) standing(now time.Time, org *rules.Organisation, p *purse) bool {
 	_, known := s.fleet.Running(now)
-	rate := org.Rate * standingPart / float64(max(known, 2))
+	part := standingPart
+	if s.claim.Epoch == 0 {
+		part = freshPart
+	}
+	rate := org.Rate * part / float64(max(known, 2))
 	if p.at.IsZero() {
 		p.standing = 1
 	} else {
--- a/internal/fleet/allowance/allowance_test.go
+++ b/internal/fleet/allowance/allowance_test.go
@@ -151,10 +151,14 @@
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	end := time.Now().Add(d)
+	started := 0
 	for _, n := range w.nodes {
 		group.Add(1)
+		lag := time.Duration(float64(started) * float64(time.Second) / perNode / float64(len(w.nodes)))
+		started++
 		go func() {
 			defer group.Done()
+			time.Sleep(lag) // callers of different nodes don't act in step
 			for time.Now().Before(end) {
 				group.Add(1)
 				go func() {
@@ -245,3 +249,23 @@
 		is.Equal(w.nodes["n00"].rates.Take(context.Background(), time.Now(), &rules.Organisation{Name: "free"}), allowance.Taken)
 	})
 }
+
+// All nodes start anew under load: what fits the rate is served at once, and
+// the bound holds over the time without a holder.
+func TestFreshFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork(t, 12)
+		time.Sleep(20 * time.Millisecond)
+		taken, refused := w.spend(org.Rate*0.6/12, 4*time.Second)
+		is.True(float64(refused) <= 0.05*float64(taken+refused))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork(t, 12)
+		time.Sleep(20 * time.Millisecond)
+		window := 4 * time.Second
+		taken, _ := w.spend(org.Rate*8/12, window)
+		is.True(taken <= allowed(window))
+	})
+}
--- a/internal/fleet/roster/join.go
+++ b/internal/fleet/roster/join.go
@@ -82,6 +82,9 @@
 	if err != nil {
 		return fmt.Errorf("list nodes: %w", err)
 	}
+	s.mu.Lock()
+	s.listed = len(listed)
+	s.mu.Unlock()
 	now, greeted := clock.Now(), 0
 	for name, value := range listed {
 		var r member.Record
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -99,6 +99,8 @@
 	table  *member.Table
 	pulses map[string]pulse
 	own    uint64
+	// listed is the number of nodes that the directory named last.
+	listed int
 	ticked time.Time
 
 	sent, received, bytes atomic.Uint64
@@ -191,7 +193,8 @@
 }
 
 // Running lists the IDs of the members that run and don't leave, in order,
-// and the number of those known that are not proved gone.
+// and the number of those known that are not proved gone; before peers are
+// heard that is what the directory names.
 func (s *Service) Running(now time.Time) (ids []string, known int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -208,6 +211,9 @@
 		}
 	})
 	slices.Sort(ids)
+	if len(ids) <= 1 {
+		known = max(known, s.listed)
+	}
 	return ids, known
 }
 
--- /dev/null
+++ b/internal/fleet/roster/roster_test.go
@@ -0,0 +1,235 @@
+package roster_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/core/clock"
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"chestnutshed.example/chestnutshed/internal/fleet/roster"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+)
+
+// directory is a store of addresses in memory.
+type directory struct {
+	mu      sync.Mutex
+	entries map[string][]byte
+	down    bool
+}
+
+func (d *directory) Enlist(_ context.Context, name string, value []byte) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.down {
+		return io.ErrUnexpectedEOF
+	}
+	d.entries[name] = value
+	return nil
+}
+
+func (d *directory) Listed(context.Context) (map[string][]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.down {
+		return nil, io.ErrUnexpectedEOF
+	}
+	copied := map[string][]byte{}
+	for k, v := range d.entries {
+		copied[k] = v
+	}
+	return copied, nil
+}
+
+func (d *directory) Strike(_ context.Context, name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.entries, name)
+	return nil
+}
+
+// news is a configuration whose version and age a test sets.
+type news struct {
+	mu      sync.Mutex
+	version uint64
+	age     time.Duration
+	heard   uint64
+	at      time.Time
+}
+
+func (n *news) Version() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.version
+}
+
+func (n *news) Age(time.Time) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.age
+}
+
+func (n *news) Heard(version uint64, at time.Time, _ string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.heard = max(n.heard, version)
+	if at.After(n.at) {
+		n.at = at
+	}
+}
+
+func (n *news) newest() (uint64, time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.heard, n.at
+}
+
+type running struct {
+	*roster.Service
+	news *news
+	stop func()
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().String()
+}
+
+func start(t *testing.T, d *directory, name, zone, at string) running {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := &news{version: 1, age: time.Hour}
+	s, err := roster.New(clock.Now(), roster.Options{Node: name, Self: member.Record{
+		Address: at, Datagrams: at, Zone: zone, Region: "r",
+	}}, d, n, logrus.NewEntry(log))
+	is.New(t).NoErr(err)
+	k := kernel.New()
+	is.New(t).NoErr(k.Register(s))
+	is.New(t).NoErr(k.Start(context.Background()))
+	var once sync.Once
+	r := running{s, n, func() { once.Do(func() { _ = k.Stop(context.Background()) }) }}
+	t.Cleanup(r.stop)
+	return r
+}
+
+func fleet(t *testing.T, d *directory, size int) []running {
+	t.Helper()
+	var all []running
+	for i := range size {
+		all = append(all, start(t, d, fmt.Sprintf("n%d", i), fmt.Sprintf("z%d", i%2), address(t)))
+	}
+	eventually(t, "everybody knows everybody", func() bool {
+		for _, r := range all {
+			if ids, _ := r.Running(clock.Now()); len(ids) != size {
+				return false
+			}
+		}
+		return true
+	})
+	return all
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for range 1000 {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("not in time: " + what)
+}
+
+func TestMembership(t *testing.T) {
+	is := is.New(t)
+	d := &directory{entries: map[string][]byte{}}
+	all := fleet(t, d, 6)
+	all[0].Update(clock.Now(), func(r member.Record) member.Record {
+		r.Service, r.Slots, r.Instance = "s", 8, "i-1"
+		return r
+	})
+	for _, r := range all {
+		eventually(t, "the target is known", func() bool { return len(r.Serving(clock.Now(), "s")) == 1 })
+	}
+	// A node that goes without a word is missed, one that leaves at once.
+	all[5].stop()
+	all[4].Leave(clock.Now())
+	eventually(t, "the one that left is out", func() bool {
+		r, _ := all[0].Get(all[4].Self().ID)
+		return r.Status == member.Left
+	})
+	eventually(t, "the silent one is out", func() bool { return all[0].Silent(clock.Now(), all[5].Self().ID) })
+	_, known := all[0].Running(clock.Now())
+	is.Equal(known, 5) // a silent node still counts for majorities
+}
+
+// A node that starts anew at its address takes the place of the one before,
+// also while the directory is lost.
+func TestRestart(t *testing.T) {
+	is := is.New(t)
+	d := &directory{entries: map[string][]byte{}}
+	all := fleet(t, d, 3)
+	before := all[2].Self()
+	all[2].stop()
+	again := start(t, d, "n2", "z0", before.Datagrams)
+	eventually(t, "the new one is known", func() bool {
+		r, ok := all[0].Get(before.ID)
+		ids, _ := all[0].Running(clock.Now())
+		return ok && r.Gone() && len(ids) == 3
+	})
+	is.True(again.Self().ID != before.ID)
+}
+
+// Only an answer dates a proof, by when it was asked for.
+func TestNews(t *testing.T) {
+	is := is.New(t)
+	d := &directory{entries: map[string][]byte{}}
+	all := fleet(t, d, 2)
+	all[0].news.mu.Lock()
+	all[0].news.version, all[0].news.age = 7, 400*time.Millisecond
+	all[0].news.mu.Unlock()
+	all[0].SpreadVersion()
+	eventually(t, "the version is heard", func() bool {
+		heard, _ := all[1].news.newest()
+		return heard == 7
+	})
+	asked := clock.Now()
+	eventually(t, "the proof is heard", func() bool {
+		_, at := all[1].news.newest()
+		return at.After(asked.Add(-300 * time.Millisecond))
+	})
+	_, at := all[1].news.newest()
+	is.True(!at.After(clock.Now().Add(-400 * time.Millisecond))) // never fresher than the peer's own
+}
+
+// What can't be read changes nothing and crashes nothing.
+func TestNonsense(t *testing.T) {
+	is := is.New(t)
+	d := &directory{entries: map[string][]byte{"x": []byte("{]"), "y": []byte(`{"id":5}`), "z": []byte(`{}`)}}
+	all := fleet(t, d, 2)
+	conn, err := net.Dial("udp", all[0].Self().Datagrams)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	strange, err := json.Marshal(map[string]any{
+		"from": "stranger", "sent": 1, "cfg": 99, "age": -5, "want": []string{"nobody"},
+		"recs": []any{map[string]any{"id": "", "addr": ""}}, "topic": "none", "notes": map[string]any{"none": 1},
+	})
+	is.NoErr(err)
+	for _, text := range [][]byte{{}, []byte("{]"), []byte(`{"from":1}`), strange} {
+		_, _ = conn.Write(text)
+	}
+	time.Sleep(300 * time.Millisecond)
+	ids, _ := all[0].Running(clock.Now())
+	is.Equal(len(ids), 2)
+}
--- a/internal/policy/choice/choice.go
+++ b/internal/policy/choice/choice.go
@@ -31,9 +31,12 @@
 	// holdLife is how long a reported time of service is believed; afterwards
 	// the candidate is tried as if it were as quick as the quickest.
 	holdLife = 5 * time.Second
-	// farPart is the part of a route's objective that a call must save for one
-	// to another availability zone: bytes between zones are paid for.
-	farPart = 0.08
+	// farPart is the part of a route's objective that a caller's request must
+	// save for one to another availability zone, since bytes between zones are
+	// paid for; farInner is that for calls of targets, of which there are many
+	// and each only adds to its caller's time.
+	farPart  = 0.2
+	farInner = 0.5
 	// easy is the load up to which waiting for a slot is unlikely, and fullTime
 	// how many times the time of service a call takes at load 1.
 	easy     = 0.65
@@ -130,6 +133,13 @@
 	Tried []string
 }
 
+func (c Call) farPart() float64 {
+	if c.Depth > 1 {
+		return farInner
+	}
+	return farPart
+}
+
 // Pick is a candidate and whether it was taken although it fails.
 type Pick struct {
 	Candidate Candidate
@@ -249,7 +259,7 @@
 		}
 		cost *= stretch(c.loadOf(now, k))
 		if k.Zone != c.zone {
-			cost += farPart * call.Objective.Seconds()
+			cost += call.farPart() * call.Objective.Seconds()
 		}
 		if pick.ID == "" || cost < least {
 			pick, least = k, cost
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -58,6 +58,9 @@
 	noConfigAfter = 300 * time.Millisecond
 	staleAfter    = 500 * time.Millisecond
 	noTargetAfter = 200 * time.Millisecond
+	// returnPart is the part of a route's objective after which callers return on
+	// average: late enough for a surge to move on, early enough for full worth.
+	returnPart = 0.4
 	// poolsKept is the number of peers' pools at which unused ones are dropped.
 	poolsKept = 128
 )
@@ -314,16 +317,20 @@
 		return &verdict{http.StatusBadGateway, failure.Lost, 0}
 	}
 	if refused, ok := q.outcome.(call.Refused); ok {
-		return &verdict{http.StatusServiceUnavailable, refused.Reason, after(refused.After)}
+		return &verdict{http.StatusServiceUnavailable, refused.Reason, s.after(q, refused.Reason, refused.After)}
 	}
-	return &verdict{http.StatusServiceUnavailable, r.Reason, after(r.After)}
+	return &verdict{http.StatusServiceUnavailable, r.Reason, s.after(q, r.Reason, r.After)}
 }
 
-func after(d time.Duration) time.Duration {
-	if d <= 0 {
-		return noTargetAfter
+// after is when a refused caller may come back: where the service is full, at
+// a time spread over the next part of the objective, so that callers neither
+// return at once nor together.
+func (s *Service) after(q *request, reason failure.Reason, least time.Duration) time.Duration {
+	if reason != failure.Overload {
+		return max(least, noTargetAfter)
 	}
-	return d
+	middle := float64(q.route.Objective) * returnPart
+	return max(least, time.Duration(middle*(0.5+rand.Float64())))
 }
 
 // judge decides whether an outcome is final.
@@ -341,7 +348,7 @@
 			if s.again(q) {
 				return nil, nil, true
 			}
-			return nil, &verdict{http.StatusServiceUnavailable, o.Reason, after(o.After)}, false
+			return nil, &verdict{http.StatusServiceUnavailable, o.Reason, s.after(q, o.Reason, o.After)}, false
 		}
 		if len(q.tried) < places && ctx.Err() == nil {
 			return nil, nil, true
