--- a/internal/core/kernel/kernel.go
+++ b/internal/core/kernel/kernel.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
@@ -97,6 +98,22 @@
 	k.group.Go(func() error { return duty(k.ctx) })
 }
 
+// Every runs a step at an interval until the kernel stops.
+func (k *Kernel) Every(interval time.Duration, step func(ctx context.Context)) {
+	k.Go(func(ctx context.Context) error {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				step(ctx)
+			}
+		}
+	})
+}
+
 // Done is closed when a duty has failed or the kernel was stopped.
 func (k *Kernel) Done() <-chan struct{} {
 	return k.ctx.Done()
--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -491,18 +491,7 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
-	k.Go(func(ctx context.Context) error {
-		ticker := time.NewTicker(electEvery)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-				s.elect(s.now())
-			}
-		}
-	})
+	k.Every(electEvery, func(context.Context) { s.elect(s.now()) })
 	return nil
 }
 
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -111,7 +111,7 @@
 	return n, nil
 }
 
-func (n *Node) named(service string) *logrus.Entry { return n.log.WithField("service", service) }
+func (n *Node) named(service string) *logrus.Entry { return n.log.WithField("component", service) }
 
 func (n *Node) terms(s settings.Mesh) relay.Terms {
 	return relay.Terms{
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -425,26 +425,14 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
-	k.Go(s.tick)
+	k.Every(level.Tick, func(context.Context) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.intake.Tick(clock.Now())
+	})
 	return nil
 }
 
-// tick moves the admission level.
-func (s *Service) tick(ctx context.Context) error {
-	ticker := time.NewTicker(level.Tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.mu.Lock()
-			s.intake.Tick(clock.Now())
-			s.mu.Unlock()
-		}
-	}
-}
-
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
 	s.pool.Reset()
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -121,20 +121,22 @@
 
 // request is one caller's request on its way through the relay.
 type request struct {
-	wish    call.Wish
-	in      *httpconn.Request
-	began   time.Time
-	until   time.Time
-	config  *follow.Config
-	age     time.Duration
-	route   *rules.Route
-	org     *rules.Organisation
-	quota   string
-	call    call.Call
-	tried   []string
-	runs    int
-	lost    bool
-	outcome call.Outcome
+	wish  call.Wish
+	in    *httpconn.Request
+	began time.Time
+	until time.Time
+	// patience is when waiting for a slot ends, over all nodes asked.
+	patience time.Time
+	config   *follow.Config
+	age      time.Duration
+	route    *rules.Route
+	org      *rules.Organisation
+	quota    string
+	call     call.Call
+	tried    []string
+	runs     int
+	lost     bool
+	outcome  call.Outcome
 }
 
 // verdict is the relay's own answer.
@@ -277,8 +279,7 @@
 		s.mu.Unlock()
 		c.Score = priority.New(importances[min(max(order, 0), len(importances)-1)], place)
 	}
-	c.Patience = wait.Milliseconds()
-	q.call = c
+	q.call, q.patience = c, now.Add(wait)
 }
 
 // place sends the call to targets' nodes until one gives a final outcome.
@@ -402,6 +403,7 @@
 	record, _ := s.Roster.Get(pick.Candidate.ID)
 	c := q.call.WithTarget(record.Instance, record.Born).WithLeft(q.until.Sub(now))
 	c.Forced = pick.Forced
+	c.Patience = max(0, q.patience.Sub(now)).Milliseconds()
 	if q.runs == 0 {
 		_, known := s.Roster.Running(now)
 		s.mu.Lock()
@@ -480,18 +482,7 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
-	k.Go(func(ctx context.Context) error {
-		ticker := time.NewTicker(sweepEvery)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-				s.sweep(clock.Now())
-			}
-		}
-	})
+	k.Every(sweepEvery, func(context.Context) { s.sweep(clock.Now()) })
 	return nil
 }
 
--- a/internal/traffic/sender/sender.go
+++ b/internal/traffic/sender/sender.go
@@ -112,18 +112,7 @@
 	if s.local, err = kernel.Find[Local](k, localName); err != nil {
 		return fmt.Errorf("find what runs calls here: %w", err)
 	}
-	k.Go(func(ctx context.Context) error {
-		ticker := time.NewTicker(forgetEvery)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-				s.forget()
-			}
-		}
-	})
+	k.Every(forgetEvery, func(context.Context) { s.forget() })
 	return nil
 }
 
