Stops refuse what comes late; second sends charged along the chain

From 0.45 of the grace callers' requests are refused as not run, from 0.7 all. TestStopWithoutPause is red without. A first send is now charged with the part of it that is a repeat already, and every depth may use 0.7 of the ratio. TestLastService is red with the fixed division.

--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -33,6 +33,12 @@
 const (
 	// hearTime is how long callers and peers get to notice a planned stop.
 	hearTime = 2200 * time.Millisecond
+	// Parts of the grace after which a node that stops refuses what comes.
+	//
+	// refusePart is for callers' requests, which have the rest to end; innerPart
+	// for calls of the own target, which are short and whose callers wait.
+	refusePart = 0.45
+	innerPart  = 0.7
 	// endMargin is what is left of the grace when the process ends.
 	endMargin = 800 * time.Millisecond
 	// idlePoll is the time between looks whether all requests have ended.
@@ -214,8 +220,15 @@
 		return r
 	})
 	n.callers.Drain()
-	last := began.Add(n.settings.Grace.Duration() - endMargin)
+	grace := n.settings.Grace.Duration()
+	last := began.Add(grace - endMargin)
 	for time.Now().Before(last) {
+		switch passed := time.Since(began); {
+		case passed > time.Duration(innerPart*float64(grace)):
+			n.relay.Take(relay.TakeNone)
+		case passed > time.Duration(refusePart*float64(grace)):
+			n.relay.Take(relay.TakeInner)
+		}
 		if time.Since(began) > hearTime && n.callers.Busy()+n.guard.Busy()+n.peers.Busy() == 0 {
 			break
 		}
--- a/internal/policy/spare/spare.go
+++ b/internal/policy/spare/spare.go
@@ -11,12 +11,11 @@
 }
 
 const (
-	// rootPart and innerPart are the parts of the ratio that callers' requests
-	// and calls of targets may use. A repeated run repeats its calls, so that the
-	// last service of a chain of four gets the sum: 0.3 + 3 x 0.2.
-	rootPart  = 0.3
-	innerPart = 0.2
-	// slackPart is the part of the slack that is used, for the same reason.
+	// ratioPart is the part of the ratio that is used, inherited repeats
+	// included; the rest is for what nodes learn late.
+	ratioPart = 0.7
+	// slackPart is the part of the slack that is used: a repeated run repeats
+	// several calls of its own.
 	slackPart = 0.25
 )
 
@@ -34,18 +33,16 @@
 	return max(1, b.terms.Slack*slackPart/float64(max(nodes, 1)))
 }
 
-// First counts a first send to a service; inner tells calls of targets.
-func (b *Budget) First(service string, nodes int, inner bool) {
-	part := rootPart
-	if inner {
-		part = innerPart
-	}
+// First counts a first send to a service. Inherited is the part of it that is a
+// repeat already, since the run that makes the call is one: it is charged, so
+// that along a chain of services repeats add up to the ratio and no more.
+func (b *Budget) First(service string, nodes int, inherited float64) {
 	most := b.burst(nodes)
 	credit, ok := b.credit[service]
 	if !ok {
 		credit = most
 	}
-	b.credit[service] = min(most, credit+b.terms.Ratio*part)
+	b.credit[service] = max(-most, min(most, credit+b.terms.Ratio*ratioPart-inherited))
 }
 
 // Extra reports whether one more send to a service is allowed, and counts it.
--- a/internal/policy/spare/spare_test.go
+++ b/internal/policy/spare/spare_test.go
@@ -17,7 +17,7 @@
 		for range nodes {
 			b := spare.New(terms)
 			for range 200 {
-				b.First("s", nodes, false)
+				b.First("s", nodes, 0)
 				first++
 				for b.Extra("s") {
 					extra++
@@ -39,19 +39,33 @@
 	is := is.New(t)
 	terms := spare.Terms{Ratio: 0.2, Slack: 48}
 	const depth, nodes, each = 4, 12, 500
-	repeated := 0.0
-	for level := range depth {
-		extra := 0
+	inherited := 0.0
+	for range depth {
+		extra := 0.0
 		for range nodes {
 			b := spare.New(terms)
 			for range each {
-				b.First("s", nodes, level > 0)
+				b.First("s", nodes, inherited)
 				for b.Extra("s") {
 					extra++
 				}
 			}
 		}
-		repeated += float64(extra) / (nodes * each)
+		inherited += extra / (nodes * each)
 	}
-	is.True(repeated*nodes*each <= terms.Ratio*nodes*each+terms.Slack)
+	is.True(inherited*nodes*each <= terms.Ratio*nodes*each+terms.Slack)
+}
+
+// Where only the last service of a chain loses answers, most of the ratio is
+// there for it.
+func TestLastService(t *testing.T) {
+	is := is.New(t)
+	b, extra := spare.New(spare.Terms{Ratio: 0.2, Slack: 48}), 0
+	for range 1000 {
+		b.First("s", 12, 0)
+		if b.Extra("s") {
+			extra++
+		}
+	}
+	is.True(extra >= 100)
 }
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -39,6 +39,9 @@
 	Left int64 `json:"left"`
 	// Patience is how long the call may wait for a slot, in milliseconds.
 	Patience int64 `json:"wait"`
+	// Repeat is the part of the call that is a repeat: 1 for a second send, and
+	// for a first one what its caller inherited.
+	Repeat float64 `json:"rep,omitempty"`
 	// Forced lets the call through to a target that seems to fail.
 	Forced bool `json:"forced,omitempty"`
 }
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -63,10 +63,13 @@
 	waiting map[uint64]chan step
 	// innerFailed is when a call of the target last failed.
 	innerFailed time.Time
-	holds       map[string]float64
-	downTil     time.Time
-	closed      bool
-	lastID      atomic.Uint64
+	// running is the number of calls at the target, and repeats the sum of
+	// their parts that are repeats.
+	running, repeats float64
+	holds            map[string]float64
+	downTil          time.Time
+	closed           bool
+	lastID           atomic.Uint64
 
 	runs, refusals, losses *metrics.Counter
 	took                   *metrics.Histogram
@@ -313,7 +316,9 @@
 		maxAge = freshFor
 	}
 	s.runs.Inc()
+	s.count(c, 1)
 	resp, err := s.pool.Do(ctx, &out, maxAge)
+	s.count(c, -1)
 	now := clock.Now()
 	s.took.Update(now.Sub(began).Seconds())
 	if resp != nil || ctx.Err() != nil {
@@ -379,6 +384,25 @@
 	s.innerFailed = now
 }
 
+// Repeats is the mean part that is a repeat of the calls running at the target,
+// and so of the calls that it makes.
+func (s *Service) Repeats() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running < 1 {
+		return 0
+	}
+	return s.repeats / s.running
+}
+
+// count adds a call to those running, or takes it off.
+func (s *Service) count(c call.Call, sign float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running += sign
+	s.repeats += sign * c.Repeat
+}
+
 // Failing reports whether the target fails most requests.
 func (s *Service) Failing() bool {
 	s.mu.Lock()
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -93,6 +93,7 @@
 	Parts
 	terms  atomic.Pointer[Terms]
 	zone   string
+	taking atomic.Int32
 	serial atomic.Uint64
 
 	mu      sync.Mutex
@@ -119,6 +120,30 @@
 // SetTerms changes the terms; the bound on second sends stays as it was.
 func (s *Service) SetTerms(t Terms) { s.terms.Store(&t) }
 
+// Taking is whose requests the relay still takes while its node stops.
+type Taking int32
+
+// The steps of a stop: everybody's, only calls of the own target, nobody's.
+const (
+	TakeAll Taking = iota
+	TakeInner
+	TakeNone
+)
+
+// Take changes whose requests are taken; the others are refused as not run.
+func (s *Service) Take(t Taking) { s.taking.Store(int32(t)) }
+
+// takes reports whether a request on a route is taken.
+func (s *Service) takes(r *rules.Route) bool {
+	switch Taking(s.taking.Load()) {
+	case TakeInner:
+		return r.Open
+	case TakeNone:
+		return false
+	}
+	return true
+}
+
 // request is one caller's request on its way through the relay.
 type request struct {
 	wish  call.Wish
@@ -240,6 +265,8 @@
 		return stale
 	case q.route == nil:
 		return &verdict{http.StatusNotFound, failure.NoRoute, 0}
+	case !s.takes(q.route):
+		return &verdict{http.StatusServiceUnavailable, failure.Leaving, noConfigAfter}
 	case q.route.Open:
 		return nil
 	case isStale:
@@ -268,6 +295,7 @@
 	if q.org == nil {
 		c.Depth, wait = 2, q.route.Objective/innerWaitPart
 		c.Score = priority.New(manifest.Critical, 0)
+		c.Repeat = s.Guard.Repeats()
 	} else {
 		c.Organisation = q.org.Name
 		order := q.route.Rank
@@ -403,11 +431,14 @@
 	record, _ := s.Roster.Get(pick.Candidate.ID)
 	c := q.call.WithTarget(record.Instance, record.Born).WithLeft(q.until.Sub(now))
 	c.Forced = pick.Forced
+	if q.runs > 0 {
+		c.Repeat = 1
+	}
 	c.Patience = max(0, q.patience.Sub(now)).Milliseconds()
 	if q.runs == 0 {
 		_, known := s.Roster.Running(now)
 		s.mu.Lock()
-		s.extra.First(c.Service, known, c.Depth > 1)
+		s.extra.First(c.Service, known, c.Repeat)
 		s.mu.Unlock()
 	}
 	if record.ID == s.Roster.Self().ID {
