--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -333,6 +333,9 @@
 	s.spread(now, []member.Record{r}, "")
 }
 
+// Sent is the number of bytes sent in datagrams so far.
+func (s *Service) Sent() uint64 { return s.bytes.Load() }
+
 // State implements kernel.Service.
 func (s *Service) State() any {
 	ids, known := s.Running(clock.Now())
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -233,3 +233,23 @@
 	ids, _ := all[0].Running(clock.Now())
 	is.Equal(len(ids), 2)
 }
+
+// A node spends at most 3 KB a second on control, whatever the size of the
+// fleet: the users' bound.
+func TestControlBytes(t *testing.T) {
+	is := is.New(t)
+	all := fleet(t, &directory{entries: map[string][]byte{}}, 24)
+	const span = 4 * time.Second
+	before := uint64(0)
+	for _, r := range all {
+		before += r.Sent()
+	}
+	time.Sleep(span)
+	after := uint64(0)
+	for _, r := range all {
+		after += r.Sent()
+	}
+	each := float64(after-before) / float64(len(all)) / span.Seconds()
+	t.Logf("%.0f bytes a second and node", each)
+	is.True(each <= 3000)
+}
