--- a/cmd/chestnutshed/mesh.go
+++ b/cmd/chestnutshed/mesh.go
@@ -88,7 +88,11 @@
 		case <-ticker.C:
 		}
 		text, err := os.ReadFile(c.Settings)
-		if err != nil || bytes.Equal(text, last) {
+		if err != nil {
+			log.WithError(err).Warn("settings can't be read; the last ones stay in force")
+			continue
+		}
+		if bytes.Equal(text, last) {
 			continue
 		}
 		last = text
--- a/internal/fleet/roster/exchange.go
+++ b/internal/fleet/roster/exchange.go
@@ -119,6 +119,8 @@
 			return nil
 		}
 		if err != nil {
+			// A datagram that found no listener at its peer, most likely.
+			s.log.WithError(err).Debug("datagram not received")
 			continue
 		}
 		s.received.Add(1)
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -164,6 +164,9 @@
 	if n.peers, err = httpconn.Listen(n.settings.Peers, n.peerLimits, n.guard.Handle); err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
+	for _, server := range []*httpconn.Server{n.callers, n.peers} {
+		server.OnError = func(err error) { n.log.WithError(err).WithField("address", server.Address()).Warn("listener") }
+	}
 	n.kernelHTTP(n.settings.Ready, seams.Ready(n.isReady))
 	n.kernelHTTP(n.settings.Announcements, seams.Announcements(n.guard, n.settings.Target, clock.Now, n.named("announcements")))
 	n.kernelHTTP(n.settings.Operators, n.operators())
--- a/internal/traffic/httpconn/server.go
+++ b/internal/traffic/httpconn/server.go
@@ -26,6 +26,8 @@
 	// lingerTimeout is how long a closed connection is read on, so that its
 	// last answer is not lost to a reset.
 	lingerTimeout = 500 * time.Millisecond
+	// acceptPause is the time to the next try after a failed accept.
+	acceptPause = 10 * time.Millisecond
 	// bufferSize is the size of a connection's buffers, in bytes: most requests
 	// fit into one.
 	bufferSize = 2 << 10
@@ -51,6 +53,8 @@
 	listener net.Listener
 	handler  Handler
 	limits   func() Limits
+	// OnError hears of errors that are no caller's; set it before Serve.
+	OnError func(error)
 
 	mu       sync.Mutex
 	conns    map[*serverConn]struct{}
@@ -83,7 +87,10 @@
 		}
 		if err != nil {
 			// Out of descriptors, most likely: others will be given back.
-			time.Sleep(10 * time.Millisecond)
+			if s.OnError != nil {
+				s.OnError(fmt.Errorf("accept connection: %w", err))
+			}
+			time.Sleep(acceptPause)
 			continue
 		}
 		s.makeRoom()
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -23,7 +21,6 @@
 	"chestnutshed.example/chestnutshed/internal/policy/choice"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/rank"
-	"chestnutshed.example/chestnutshed/internal/policy/resend"
 	"chestnutshed.example/chestnutshed/internal/policy/spare"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/guard"
@@ -144,33 +141,6 @@
 	return true
 }
 
-// request is one caller's request on its way through the relay.
-type request struct {
-	wish  call.Wish
-	in    *httpconn.Request
-	began time.Time
-	until time.Time
-	// patience is when waiting for a slot ends, over all nodes asked.
-	patience time.Time
-	config   *follow.Config
-	age      time.Duration
-	route    *rules.Route
-	org      *rules.Organisation
-	quota    string
-	call     call.Call
-	tried    []string
-	runs     int
-	lost     bool
-	outcome  call.Outcome
-}
-
-// verdict is the relay's own answer.
-type verdict struct {
-	status int
-	reason failure.Reason
-	after  time.Duration
-}
-
 // Handle implements httpconn.Handler.
 func (s *Service) Handle(ctx context.Context, in *httpconn.Request) *httpconn.Response {
 	q := &request{wish: s.Dialect.Wish(in.Header), in: in, began: in.Received}
@@ -190,39 +160,6 @@
 	return resp
 }
 
-// record writes the line and the counters of a finished request.
-func (s *Service) record(now time.Time, q *request, resp *httpconn.Response, v *verdict) {
-	took := now.Sub(q.began)
-	if q.call.Depth > 1 && (v != nil || resp.Status >= http.StatusInternalServerError) {
-		s.Guard.InnerFailed(now)
-	}
-	s.took.Update(took.Seconds())
-	fields := logrus.Fields{
-		"request": q.wish.ID, "ms": took.Milliseconds(), "config_age_ms": q.age.Milliseconds(), "tried": q.tried,
-	}
-	if q.config != nil {
-		fields["config"] = q.config.Rules.Version
-	}
-	if q.route != nil {
-		fields["route"], fields["service"] = q.route.Name, q.call.Service
-	}
-	if q.org != nil {
-		fields["organisation"], fields["quota"] = q.org.Name, q.quota
-	}
-	if q.outcome != nil {
-		fields["last"] = call.Describe(q.outcome)
-	}
-	switch {
-	case v != nil:
-		fields["status"], fields["reason"], fields["after_ms"] = v.status, v.reason, v.after.Milliseconds()
-		s.Set.GetOrCreateCounter(fmt.Sprintf(`requests_refused_total{reason=%q}`, v.reason)).Inc()
-	case resp != nil:
-		fields["status"] = resp.Status
-		s.Set.GetOrCreateCounter(fmt.Sprintf(`requests_answered_total{status="%d"}`, resp.Status)).Inc()
-	}
-	s.Log.WithFields(fields).Info("request")
-}
-
 // decide answers a request or says why not.
 func (s *Service) decide(ctx context.Context, q *request) (*httpconn.Response, *verdict) {
 	if v := s.accept(q); v != nil {
@@ -310,200 +247,6 @@
 	q.call, q.patience = c, now.Add(wait)
 }
 
-// place sends the call to targets' nodes until one gives a final outcome.
-func (s *Service) place(ctx context.Context, q *request) (*httpconn.Response, *verdict) {
-	ctx, cancel := context.WithTimeout(ctx, q.until.Sub(clock.Now())+answerGrace)
-	defer cancel()
-	for {
-		now := clock.Now()
-		left := q.until.Sub(now)
-		if left <= 0 {
-			return nil, s.expired(q)
-		}
-		pick, refusal := s.choose(now, q)
-		if refusal != nil {
-			return nil, s.unplaced(q, refusal)
-		}
-		q.tried = append(q.tried, pick.Candidate.ID)
-		q.outcome = s.dispatch(ctx, now, q, pick)
-		resp, v, again := s.judge(ctx, q)
-		if !again {
-			return resp, v
-		}
-	}
-}
-
-func (s *Service) expired(q *request) *verdict {
-	if q.runs == 0 && !q.lost {
-		return &verdict{http.StatusServiceUnavailable, failure.Deadline, noTargetAfter}
-	}
-	return &verdict{http.StatusGatewayTimeout, failure.Deadline, 0}
-}
-
-// unplaced is the answer when no further node can be asked.
-func (s *Service) unplaced(q *request, r *failure.Refusal) *verdict {
-	if q.lost {
-		return &verdict{http.StatusBadGateway, failure.Lost, 0}
-	}
-	if refused, ok := q.outcome.(call.Refused); ok {
-		return &verdict{http.StatusServiceUnavailable, refused.Reason, s.after(q, refused.Reason, refused.After)}
-	}
-	return &verdict{http.StatusServiceUnavailable, r.Reason, s.after(q, r.Reason, r.After)}
-}
-
-// after is when a refused caller may come back: where the service is full, at
-// a time spread over the next part of the objective, so that callers neither
-// return at once nor together.
-func (s *Service) after(q *request, reason failure.Reason, least time.Duration) time.Duration {
-	if reason != failure.Overload {
-		return max(least, noTargetAfter)
-	}
-	middle := float64(q.route.Objective) * returnPart
-	return max(least, time.Duration(middle*(0.5+rand.Float64())))
-}
-
-// judge decides whether an outcome is final.
-func (s *Service) judge(ctx context.Context, q *request) (*httpconn.Response, *verdict, bool) {
-	switch o := q.outcome.(type) {
-	case call.Answered:
-		q.runs++
-		if resend.Again(resend.Whole{Status: o.Response.Status, Inner: o.Inner}, q.route.Idempotent) && s.again(q) {
-			return nil, nil, true
-		}
-		return o.Response, nil, false
-	case call.Refused:
-		if o.Arrived {
-			q.runs++
-			if s.again(q) {
-				return nil, nil, true
-			}
-			return nil, &verdict{http.StatusServiceUnavailable, o.Reason, s.after(q, o.Reason, o.After)}, false
-		}
-		if len(q.tried) < places && ctx.Err() == nil {
-			return nil, nil, true
-		}
-		return nil, s.unplaced(q, failure.New(o.Reason, "")), false
-	case call.Lost:
-		q.runs, q.lost = q.runs+1, true
-		if ctx.Err() != nil || o.Reason == failure.Deadline {
-			return nil, s.expired(q), false
-		}
-		if q.route.Idempotent && s.again(q) {
-			return nil, nil, true
-		}
-		return nil, &verdict{http.StatusBadGateway, failure.Lost, 0}, false
-	}
-	return nil, &verdict{http.StatusBadGateway, failure.Broken, 0}, false
-}
-
-// again reports whether the request may go to one more target.
-func (s *Service) again(q *request) bool {
-	if q.runs >= max(q.route.Attempts, 1) {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.extra.Extra(q.call.Service)
-}
-
-// choose picks the node to ask.
-func (s *Service) choose(now time.Time, q *request) (choice.Pick, *failure.Refusal) {
-	records := s.Roster.Serving(now, q.call.Service)
-	all := make([]choice.Candidate, 0, len(records))
-	for _, r := range records {
-		all = append(all, choice.Candidate{
-			ID: r.ID, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Since: s.Roster.Ready(r.ID), Failing: r.Failing,
-		})
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	pick, refusal := s.chooser.Choose(now, all, choice.Call{
-		Route: q.route.Name, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Tried: q.tried,
-	})
-	if refusal == nil {
-		s.chooser.Sent(pick.Candidate.ID)
-	}
-	return pick, refusal
-}
-
-// dispatch sends the call to one node, this one included.
-func (s *Service) dispatch(ctx context.Context, now time.Time, q *request, pick choice.Pick) call.Outcome {
-	record, _ := s.Roster.Get(pick.Candidate.ID)
-	c := q.call.WithTarget(record.Instance, record.Born).WithLeft(q.until.Sub(now))
-	c.Forced = pick.Forced
-	if q.runs > 0 {
-		c.Repeat = 1
-	}
-	c.Patience = max(0, q.patience.Sub(now)).Milliseconds()
-	if q.runs == 0 {
-		_, known := s.Roster.Running(now)
-		s.mu.Lock()
-		s.extra.First(c.Service, known, c.Repeat)
-		s.mu.Unlock()
-	}
-	if record.ID == s.Roster.Self().ID {
-		outcome := s.Guard.Run(ctx, now, c, q.in)
-		s.answered(record.ID, q, s.Guard.Load(c.Route))
-		return outcome
-	}
-	return s.remote(ctx, c, q, record.ID, pick.Candidate.Address)
-}
-
-// remote sends the call to another node.
-func (s *Service) remote(ctx context.Context, c call.Call, q *request, id, address string) call.Outcome {
-	out := *q.in
-	out.Header = q.in.Header.Clone()
-	httpconn.StripHop(out.Header)
-	if err := c.Put(out.Header); err != nil {
-		s.withdrawn(id)
-		return call.Refused{Reason: failure.BadRequest}
-	}
-	resp, err := s.pool(address).Do(ctx, &out, 0)
-	if err == nil {
-		outcome, load, decodeErr := call.Decode(resp)
-		if decodeErr == nil {
-			s.answered(id, q, load)
-			return outcome
-		}
-		err = decodeErr
-	}
-	if ctx.Err() != nil {
-		s.withdrawn(id)
-		return call.Lost{Reason: failure.Deadline, Err: err}
-	}
-	s.mu.Lock()
-	s.chooser.Failed(clock.Now(), id)
-	s.mu.Unlock()
-	s.Log.WithError(err).WithFields(logrus.Fields{"request": c.ID, "peer": address, "member": id}).Warn("peer did not answer")
-	if errors.Is(err, httpconn.ErrNotSent) {
-		return call.Refused{Reason: failure.NotReady, After: noTargetAfter}
-	}
-	return call.Lost{Reason: failure.Lost, Err: err}
-}
-
-func (s *Service) answered(id string, q *request, load call.Load) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.chooser.Answered(clock.Now(), id, choice.Report{Route: q.route.Name, Load: load.Load, Cut: load.Cut, Hold: load.Hold})
-}
-
-func (s *Service) withdrawn(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.chooser.Withdrawn(id)
-}
-
-func (s *Service) pool(address string) *httpconn.Pool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p, ok := s.pools[address]
-	if !ok {
-		p = httpconn.NewPool(address, httpconn.Options{DialTimeout: peerDial, MaxIdle: peerIdle, MaxAnswer: maxAnswer})
-		s.pools[address] = p
-	}
-	return p
-}
-
 // sweepEvery is the time between looks for pools and estimates that are not
 // used any more.
 const sweepEvery = 10 * time.Second
--- /dev/null
+++ b/internal/traffic/relay/remote.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/core/clock"
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/choice"
+	"chestnutshed.example/chestnutshed/internal/traffic/call"
+	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
+	"github.com/sirupsen/logrus"
+)
+
+// choose picks the node to ask.
+func (s *Service) choose(now time.Time, q *request) (choice.Pick, *failure.Refusal) {
+	records := s.Roster.Serving(now, q.call.Service)
+	all := make([]choice.Candidate, 0, len(records))
+	for _, r := range records {
+		all = append(all, choice.Candidate{
+			ID: r.ID, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Since: s.Roster.Ready(r.ID), Failing: r.Failing,
+		})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pick, refusal := s.chooser.Choose(now, all, choice.Call{
+		Route: q.route.Name, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Tried: q.tried,
+	})
+	if refusal == nil {
+		s.chooser.Sent(pick.Candidate.ID)
+	}
+	return pick, refusal
+}
+
+// dispatch sends the call to one node, this one included.
+func (s *Service) dispatch(ctx context.Context, now time.Time, q *request, pick choice.Pick) call.Outcome {
+	record, _ := s.Roster.Get(pick.Candidate.ID)
+	c := q.call.WithTarget(record.Instance, record.Born).WithLeft(q.until.Sub(now))
+	c.Forced = pick.Forced
+	if q.runs > 0 {
+		c.Repeat = 1
+	}
+	c.Patience = max(0, q.patience.Sub(now)).Milliseconds()
+	if q.runs == 0 {
+		_, known := s.Roster.Running(now)
+		s.mu.Lock()
+		s.extra.First(c.Service, known, c.Repeat)
+		s.mu.Unlock()
+	}
+	if record.ID == s.Roster.Self().ID {
+		outcome := s.Guard.Run(ctx, now, c, q.in)
+		s.answered(record.ID, q, s.Guard.Load(c.Route))
+		return outcome
+	}
+	return s.remote(ctx, c, q, record.ID, pick.Candidate.Address)
+}
+
+// remote sends the call to another node.
+func (s *Service) remote(ctx context.Context, c call.Call, q *request, id, address string) call.Outcome {
+	out := *q.in
+	out.Header = q.in.Header.Clone()
+	httpconn.StripHop(out.Header)
+	if err := c.Put(out.Header); err != nil {
+		s.withdrawn(id)
+		return call.Refused{Reason: failure.BadRequest}
+	}
+	resp, err := s.pool(address).Do(ctx, &out, 0)
+	if err == nil {
+		outcome, load, decodeErr := call.Decode(resp)
+		if decodeErr == nil {
+			s.answered(id, q, load)
+			return outcome
+		}
+		err = decodeErr
+	}
+	if ctx.Err() != nil {
+		s.withdrawn(id)
+		return call.Lost{Reason: failure.Deadline, Err: err}
+	}
+	s.mu.Lock()
+	s.chooser.Failed(clock.Now(), id)
+	s.mu.Unlock()
+	s.Log.WithError(err).WithFields(logrus.Fields{"request": c.ID, "peer": address, "member": id}).Warn("peer did not answer")
+	if errors.Is(err, httpconn.ErrNotSent) {
+		return call.Refused{Reason: failure.NotReady, After: noTargetAfter}
+	}
+	return call.Lost{Reason: failure.Lost, Err: err}
+}
+
+func (s *Service) answered(id string, q *request, load call.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.Answered(clock.Now(), id, choice.Report{Route: q.route.Name, Load: load.Load, Cut: load.Cut, Hold: load.Hold})
+}
+
+func (s *Service) withdrawn(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chooser.Withdrawn(id)
+}
+
+func (s *Service) pool(address string) *httpconn.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.pools[address]
+	if !ok {
+		p = httpconn.NewPool(address, httpconn.Options{DialTimeout: peerDial, MaxIdle: peerIdle, MaxAnswer: maxAnswer})
+		s.pools[address] = p
+	}
+	return p
+}
--- /dev/null
+++ b/internal/traffic/relay/request.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/follow"
+	"chestnutshed.example/chestnutshed/internal/config/rules"
+	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/traffic/call"
+	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
+	"github.com/sirupsen/logrus"
+)
+
+// request is one caller's request on its way through the relay.
+type request struct {
+	wish  call.Wish
+	in    *httpconn.Request
+	began time.Time
+	until time.Time
+	// patience is when waiting for a slot ends, over all nodes asked.
+	patience time.Time
+	config   *follow.Config
+	age      time.Duration
+	route    *rules.Route
+	org      *rules.Organisation
+	quota    string
+	call     call.Call
+	tried    []string
+	runs     int
+	lost     bool
+	outcome  call.Outcome
+}
+
+// verdict is the relay's own answer.
+type verdict struct {
+	status int
+	reason failure.Reason
+	after  time.Duration
+}
+
+// record writes the line and the counters of a finished request.
+func (s *Service) record(now time.Time, q *request, resp *httpconn.Response, v *verdict) {
+	took := now.Sub(q.began)
+	if q.call.Depth > 1 && (v != nil || resp.Status >= http.StatusInternalServerError) {
+		s.Guard.InnerFailed(now)
+	}
+	s.took.Update(took.Seconds())
+	fields := logrus.Fields{
+		"request": q.wish.ID, "ms": took.Milliseconds(), "config_age_ms": q.age.Milliseconds(), "tried": q.tried,
+	}
+	if q.config != nil {
+		fields["config"] = q.config.Rules.Version
+	}
+	if q.route != nil {
+		fields["route"], fields["service"] = q.route.Name, q.call.Service
+	}
+	if q.org != nil {
+		fields["organisation"], fields["quota"] = q.org.Name, q.quota
+	}
+	if q.outcome != nil {
+		fields["last"] = call.Describe(q.outcome)
+	}
+	switch {
+	case v != nil:
+		fields["status"], fields["reason"], fields["after_ms"] = v.status, v.reason, v.after.Milliseconds()
+		s.Set.GetOrCreateCounter(fmt.Sprintf(`requests_refused_total{reason=%q}`, v.reason)).Inc()
+	case resp != nil:
+		fields["status"] = resp.Status
+		s.Set.GetOrCreateCounter(fmt.Sprintf(`requests_answered_total{status="%d"}`, resp.Status)).Inc()
+	}
+	s.Log.WithFields(fields).Info("request")
+}
