--- a/internal/config/current/current.go
+++ b/internal/config/current/current.go
@@ -185,7 +185,7 @@
 	began := time.Now()
 	for ctx.Err() == nil {
 		if s.Get() != nil && !s.source.Watcher() {
-			pause(ctx, recheck)
+			kernel.Pause(ctx, recheck)
 			continue
 		}
 		o, err := s.store.Watch(ctx, HeadKey, seen, watchWait)
@@ -196,7 +196,7 @@
 		case err != nil:
 			backoff = backoff.WithFailure()
 			s.note("platform: " + err.Error())
-			pause(ctx, backoff.Wait(random))
+			kernel.Pause(ctx, backoff.Wait(random))
 			continue
 		}
 		backoff = backoff.WithSuccess()
@@ -206,19 +206,12 @@
 			seen = 0
 			backoff = backoff.WithFailure()
 			s.note(err.Error())
-			pause(ctx, backoff.Wait(random))
+			kernel.Pause(ctx, backoff.Wait(random))
 		}
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // note keeps the last trouble for the dump and logs it once.
 func (s *Service) note(trouble string) {
 	s.mu.Lock()
--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -230,7 +230,7 @@
 	for ctx.Err() == nil {
 		now := clock.Now()
 		if !s.due(now) {
-			pause(ctx, lookEvery)
+			kernel.Pause(ctx, lookEvery)
 			continue
 		}
 		err := s.ask(ctx)
@@ -239,13 +239,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // due reports whether to ask the store now: the first node of a zone always
 // does, the others when the proof that they hear of grows old.
 func (s *Service) due(now time.Time) bool {
--- a/internal/core/kernel/kernel.go
+++ b/internal/core/kernel/kernel.go
@@ -114,6 +114,14 @@
 	})
 }
 
+// Pause waits for a time, or until ctx is done.
+func Pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // Done is closed when a duty has failed or the kernel was stopped.
 func (k *Kernel) Done() <-chan struct{} {
 	return k.ctx.Done()
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -146,7 +146,7 @@
 	n.log.Info("node is draining")
 	n.serve.Drain()
 	n.home.Close()
-	sleep(ctx, hearTime)
+	kernel.Pause(ctx, hearTime)
 	err := n.entry.StopCallers(ctx)
 	n.idle(ctx)
 	// Peers take "left" as proof that this node grants no more tokens.
@@ -165,13 +165,6 @@
 // idle waits until the own target has no calls.
 func (n *Node) idle(ctx context.Context) {
 	for n.serve.Busy() > 0 && ctx.Err() == nil {
-		sleep(ctx, idlePoll)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		kernel.Pause(ctx, idlePoll)
 	}
 }
--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// Result is what came of taking a token: Taken, Exceeded or Unknown.
+// Result is what came of taking a token: Taken, Standing or Exceeded.
 type Result int
 
 // The results. Standing means that the token came from the share that needs no
--- a/internal/fleet/gossip/rendezvous.go
+++ b/internal/fleet/gossip/rendezvous.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/platform/object"
 	"github.com/gravitational/trace"
@@ -38,7 +39,7 @@
 	g.join(ctx, g.settings.Join)
 	for first := true; ctx.Err() == nil; first = false {
 		if !g.watching.Load() {
-			wait(ctx, rendezvousEvery)
+			kernel.Pause(ctx, rendezvousEvery)
 			continue
 		}
 		err := g.meet(ctx)
@@ -48,11 +49,11 @@
 		if err != nil {
 			backoff = backoff.WithFailure()
 			g.join(ctx, g.settings.Join)
-			wait(ctx, backoff.Wait(random))
+			kernel.Pause(ctx, backoff.Wait(random))
 			continue
 		}
 		backoff = backoff.WithSuccess()
-		wait(ctx, g.untilNext(random))
+		kernel.Pause(ctx, g.untilNext(random))
 	}
 	return nil
 }
@@ -65,13 +66,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // untilNext is short while this node is alone, so that the first nodes of a
 // fleet find each other.
 func (g *Service) untilNext(random *rand.Rand) time.Duration {
--- a/internal/fleet/roster/join.go
+++ b/internal/fleet/roster/join.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 )
 
@@ -26,21 +27,14 @@
 		if enlisted && looks >= 2 && s.company() {
 			wait = lookEvery/2 + rand.N(lookEvery)
 			for ctx.Err() == nil && !s.first() {
-				pause(ctx, wait)
+				kernel.Pause(ctx, wait)
 			}
 		}
-		pause(ctx, wait)
+		kernel.Pause(ctx, wait)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (s *Service) try(what string, err error) bool {
 	if err != nil {
 		s.log.WithError(err).Warn("directory: " + what + " failed")
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -272,7 +272,7 @@
 	s.mu.Lock()
 	waited := s.intake.Cancel(id)
 	delete(s.waiting, id)
-	after := s.comeBack()
+	after := s.intake.ComeBack()
 	s.mu.Unlock()
 	if !waited {
 		// The verdict came meanwhile.
@@ -287,13 +287,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &call.Refused{Reason: st.reason, After: s.comeBack()}
+	return &call.Refused{Reason: st.reason, After: s.intake.ComeBack()}
 }
 
-// comeBack is when a caller that was turned away may find room. The mutex is
-// held.
-func (s *Service) comeBack() time.Duration { return s.intake.ComeBack() }
-
 // send runs an admitted call on the target and gives its slot back.
 func (s *Service) send(ctx context.Context, id uint64, c call.Call, r *httpconn.Request, until time.Time) call.Outcome {
 	began := clock.Now()
--- a/internal/traffic/httpconn/server.go
+++ b/internal/traffic/httpconn/server.go
@@ -60,7 +60,6 @@
 	conns    map[*serverConn]struct{}
 	draining bool
 	busy     atomic.Int64
-	group    sync.WaitGroup
 }
 
 // Listen opens a server. Limits is asked for each request.
@@ -95,7 +94,7 @@
 		}
 		s.makeRoom()
 		conn := s.open(c)
-		s.group.Go(func() { s.serve(ctx, conn) })
+		go s.serve(ctx, conn)
 	}
 }
 
