--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -105,6 +105,14 @@
 	return h.Sum64()
 }
 
+// part is what a record adds to the digest of a table.
+func (r Record) part() uint64 {
+	if r.Gone() {
+		return 0
+	}
+	return r.Hash()
+}
+
 const (
 	// suspectTime is how long a suspect has to answer before it counts as dead.
 	suspectTime = 3 * time.Second
@@ -129,7 +137,9 @@
 	byService map[string][]string
 	// order lists IDs for random choice without walking the map.
 	order []string
-	began time.Time
+	// digest joins the hashes of all records of nodes that are not gone.
+	digest uint64
+	began  time.Time
 }
 
 // New returns a table that holds the node's own record.
@@ -222,7 +232,10 @@
 		e = &entry{}
 		t.entries[r.ID] = e
 		t.order = append(t.order, r.ID)
+	} else {
+		t.digest ^= e.record.part()
 	}
+	t.digest ^= r.part()
 	if e.record.Service != r.Service || !ok {
 		t.index(e.record, r)
 	}
@@ -271,20 +284,44 @@
 // nodes that are long gone. It returns the records to pass on.
 func (t *Table) Expire(now time.Time) []Record {
 	var changed []Record
-	for id, e := range t.entries {
-		age := now.Sub(e.changed)
-		switch {
-		case e.record.Status == Suspect && age > suspectTime:
+	for _, e := range t.entries {
+		if e.record.Status == Suspect && now.Sub(e.changed) > suspectTime {
 			r := e.record.WithStatus(Dead)
 			t.put(now, r)
 			changed = append(changed, r)
-		case e.record.Gone() && age > goneTime && id != t.self:
-			t.forget(id)
 		}
 	}
+	t.Forget(now)
 	return changed
 }
 
+// Forget drops the records of nodes that are long gone.
+func (t *Table) Forget(now time.Time) {
+	for id, e := range t.entries {
+		if e.record.Gone() && now.Sub(e.changed) > goneTime && id != t.self {
+			t.forget(id)
+		}
+	}
+}
+
+// Digest is equal for tables that know the same of the nodes that are not gone.
+func (t *Table) Digest() uint64 { return t.digest }
+
+// Changed is when this node learned the present record of a node.
+func (t *Table) Changed(id string) time.Time {
+	if e, ok := t.entries[id]; ok {
+		return e.changed
+	}
+	return time.Time{}
+}
+
+// Newer reports whether the table knows more of a node than a version of its
+// record says.
+func (t *Table) Newer(id string, beat uint64, status Status) bool {
+	e, ok := t.entries[id]
+	return ok && outranks(e.record, Record{ID: id, Beat: beat, Status: status})
+}
+
 func (t *Table) forget(id string) {
 	r := t.entries[id].record
 	delete(t.entries, id)
--- a/internal/fleet/roster/exchange.go
+++ b/internal/fleet/roster/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
@@ -23,41 +24,68 @@
 		case <-ticker.C:
 		}
 		now := clock.Now()
-		s.pulseOwn(now)
+		s.tend(now)
 		for _, r := range s.partners(now, round) {
-			p := s.exchange(now)
-			p.Sent = now.UnixNano()
-			if err := s.write(r.Datagrams, p); err != nil {
-				s.log.WithError(err).Debug("exchange not sent")
-			}
+			s.probe(now, r)
 		}
 	}
 }
 
-// pulseOwn counts the own pulse. After this node stood still, the silence of
-// others proves nothing, so that they get their time anew.
-func (s *Service) pulseOwn(now time.Time) {
+func (s *Service) probe(now time.Time, r member.Record) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.own++
-	if gap := now.Sub(s.ticked); gap > stall {
+	s.watch.Probed(now, r.ID)
+	s.mu.Unlock()
+	p := s.exchange(now)
+	p.Sent = now.UnixNano()
+	if err := s.write(r.Datagrams, p); err != nil {
+		s.log.WithError(err).Debug("probe not sent")
+	}
+}
+
+// tend passes on doubts of members that gave no answer, to the doubted as well.
+// After this node stood still, the silence of others proves nothing.
+func (s *Service) tend(now time.Time) {
+	s.mu.Lock()
+	gap := now.Sub(s.ticked)
+	s.ticked = now
+	var doubted []member.Record
+	switch {
+	case gap > stall:
 		s.log.WithField("gap_ms", gap.Milliseconds()).Warn("this node stood still")
-		for id, p := range s.pulses {
-			p.at = p.at.Add(gap)
-			s.pulses[id] = p
+		s.watch.Stalled(now)
+	case gap < 2*tick:
+		// A late tick means that answers may be unread as well.
+		doubted = s.doubt(now)
+	}
+	s.table.Forget(now)
+	s.watch.Keep(func(id string) bool { r, ok := s.table.Get(id); return ok && !r.Gone() })
+	s.mu.Unlock()
+	for _, r := range doubted {
+		s.log.WithFields(map[string]any{"member": r.ID, "address": r.Address, "beat": r.Beat}).Warn("member does not answer")
+		p := s.hello(now)
+		p.Records = []member.Record{r}
+		if err := s.write(r.Datagrams, p); err != nil {
+			s.log.WithError(err).Debug("doubt not told")
 		}
 	}
-	s.ticked = now
-	for id := range s.pulses {
-		if r, ok := s.table.Get(id); !ok || r.Gone() {
-			delete(s.pulses, id)
+	if len(doubted) > 0 {
+		s.spread(now, doubted, "")
+	}
+}
+
+// doubt marks the members that do not answer. The mutex is held.
+func (s *Service) doubt(now time.Time) []member.Record {
+	var doubted []member.Record
+	for _, id := range s.watch.Doubts(now) {
+		if r, ok := s.table.Doubt(now, id); ok {
+			doubted = append(doubted, r)
 		}
 	}
-	s.table.Expire(now)
+	return doubted
 }
 
 // partners are the peers of one tick: one of the own zone, in turn the first
-// of the zone and any, and now and then one elsewhere.
+// of the zone and any, now and then one elsewhere, and one that owes an answer.
 func (s *Service) partners(now time.Time, round int) []member.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,7 +104,7 @@
 	}
 	var picked []member.Record
 	switch {
-	case round%2 == 0 && first.ID != "":
+	case round%2 == 0 && first.ID != "" && rand.IntN(max(len(near), firstPeers)) < firstPeers:
 		picked = append(picked, first)
 	case len(near) > 0:
 		picked = append(picked, near[0])
@@ -84,20 +112,20 @@
 	if len(far) > 0 && (round%farEvery == 0 || len(near) == 0) {
 		picked = append(picked, far[0])
 	}
+	for _, id := range s.watch.Unanswered() {
+		r, ok := s.table.Get(id)
+		if ok && !r.Gone() && !slices.ContainsFunc(picked, func(o member.Record) bool { return o.ID == id }) {
+			return append(picked, r)
+		}
+	}
 	return picked
 }
 
-// exchange is a datagram that names members and carries the topics' notes.
+// exchange is a datagram with the digest of the members and the topics' notes.
 func (s *Service) exchange(now time.Time) packet {
 	p := s.hello(now)
 	s.mu.Lock()
-	self := s.table.Self()
-	p.Beats = append(p.Beats, beat{self.ID, self.Beat, s.own})
-	for _, r := range s.table.Pick(maxBeats, rand.IntN) {
-		if q, ok := s.pulses[r.ID]; ok {
-			p.Beats = append(p.Beats, beat{r.ID, r.Beat, q.count})
-		}
-	}
+	p.Digest = s.table.Digest()
 	s.mu.Unlock()
 	for name, t := range s.topics {
 		if note := t.Note(); note != nil {
@@ -110,6 +138,16 @@
 	return p
 }
 
+// beats names some members, this node first. The mutex is held.
+func (s *Service) beats() []beat {
+	self := s.table.Self()
+	list := []beat{{self.ID, self.Beat, self.Status}}
+	for _, r := range s.table.Pick(maxBeats, rand.IntN) {
+		list = append(list, beat{r.ID, r.Beat, r.Status})
+	}
+	return list
+}
+
 // receive takes datagrams until the socket is closed.
 func (s *Service) receive(ctx context.Context) error {
 	buffer := make([]byte, 64<<10)
@@ -144,15 +182,14 @@
 	if t, ok := s.topics[p.Topic]; ok && p.Topic != "" {
 		t.Message(now, p.From, p.Body)
 	}
-	s.hearVersion(now, p)
+	s.hearVersion(p)
 	answer := packet{}
 	if p.Sent != 0 {
 		answer = s.exchange(now)
 		answer.Echo = p.Sent
 	}
-	answer.Want = s.lacking(p)
-	answer.Records = s.wanted(p)
-	if p.Sent != 0 || len(answer.Want) > 0 || len(answer.Records) > 0 {
+	s.reconcile(p, &answer)
+	if p.Sent != 0 || len(answer.Want)+len(answer.Records)+len(answer.Beats) > 0 {
 		if answer.From == "" {
 			answer.From = s.Self().ID
 		}
@@ -165,9 +202,30 @@
 	}
 }
 
+// reconcile adds to an answer what the two sides know differently.
+func (s *Service) reconcile(p packet, answer *packet) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sender, known := s.table.Get(p.From)
+	answer.Want = s.lacking(p)
+	answer.Records = s.wanted(p)
+	if known && sender.Status != member.Alive {
+		// A sender that is doubted lives, and refutes that.
+		answer.Records = append(answer.Records, sender)
+	}
+	if !known || len(p.Records) > 0 {
+		// The sender may not have this node's record yet.
+		answer.Text = s.table.Self().Operators
+	}
+	// Only one side names members, or the two would go on for ever.
+	if p.Digest != 0 && p.Digest != s.table.Digest() && len(p.Beats) == 0 && p.Echo == 0 {
+		answer.Beats = s.beats()
+	}
+}
+
 // hearVersion passes a peer's configuration on. Only an answer dates a proof:
 // any other datagram may have waited in a socket while a VM stood still.
-func (s *Service) hearVersion(_ time.Time, p packet) {
+func (s *Service) hearVersion(p packet) {
 	if p.Version == 0 {
 		return
 	}
@@ -175,7 +233,14 @@
 	if p.Echo != 0 && p.Age >= 0 {
 		at = time.Unix(0, p.Echo).Add(-time.Duration(p.Age) * time.Millisecond)
 	}
-	if at.IsZero() && p.Version <= s.news.Version() {
+	isNew := p.Version > s.news.Version()
+	if at.IsZero() && !isNew {
+		return
+	}
+	if r, ok := s.Get(p.From); p.Text == "" && ok {
+		p.Text = r.Operators
+	} else if p.Text == "" && isNew {
+		// There is nowhere to ask; the sender's record is on its way.
 		return
 	}
 	s.news.Heard(p.Version, at, p.Text)
@@ -196,49 +261,43 @@
 			continue
 		}
 		fresh = append(fresh, learned)
-		if _, ok := s.pulses[r.ID]; !ok && !r.Gone() {
-			s.pulses[r.ID] = pulse{at: now}
-		}
 		s.log.WithFields(map[string]any{
 			"member": r.ID, "address": r.Address, "beat": r.Beat, "status": r.Status.String(),
 			"service": r.Service, "slots": r.Slots, "target": r.Instance, "leaving": r.Leaving, "from": p.From,
 		}).Info("member changed")
 	}
-	for _, b := range p.Beats {
-		if q, ok := s.pulses[b.ID]; ok && b.Pulse > q.count {
-			s.pulses[b.ID] = pulse{count: b.Pulse, at: now}
-		}
-	}
-	if q, ok := s.pulses[p.From]; ok {
-		q.at = now
-		s.pulses[p.From] = q
-	}
+	s.watch.Heard(now, p.From)
 	return fresh
 }
 
-// lacking lists members of a datagram whose records are older here.
+// lacking lists members of a datagram whose records are older here. The mutex
+// is held.
 func (s *Service) lacking(p packet) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var ids []string
 	if _, ok := s.table.Get(p.From); !ok {
 		ids = append(ids, p.From)
 	}
 	for _, b := range p.Beats {
 		r, ok := s.table.Get(b.ID)
-		if (!ok && b.ID != p.From) || (ok && r.Beat < b.Beat) {
+		older := ok && (r.Beat < b.Beat || (r.Beat == b.Beat && r.Status < b.Status))
+		if (!ok && b.ID != p.From) || older {
 			ids = append(ids, b.ID)
 		}
 	}
 	return ids
 }
 
-// wanted returns the records that a datagram asks for.
+// wanted returns the records that a datagram asks for, and those that are newer
+// here than it says. The mutex is held.
 func (s *Service) wanted(p packet) []member.Record {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	ids := p.Want
+	for _, b := range p.Beats {
+		if s.table.Newer(b.ID, b.Beat, b.Status) {
+			ids = append(ids, b.ID)
+		}
+	}
 	var records []member.Record
-	for _, id := range p.Want {
+	for _, id := range ids {
 		if r, ok := s.table.Get(id); ok && len(records) < maxRecords {
 			records = append(records, r)
 		}
--- a/internal/fleet/roster/join.go
+++ b/internal/fleet/roster/join.go
@@ -110,8 +110,7 @@
 	if !ok {
 		known, ok = s.table.Get(r.ID)
 	}
-	p, heard := s.pulses[r.ID]
-	return ok && known.ID == r.ID && heard && now.Sub(p.at) > 4*silentAfter
+	return ok && known.ID == r.ID && known.Status != member.Alive && now.Sub(s.table.Changed(r.ID)) > strikeAfter
 }
 
 // greet introduces this node to one that it doesn't know. The entry itself
@@ -125,7 +124,7 @@
 		return false
 	}
 	p := s.exchange(now)
-	p.Sent, p.Records = now.UnixNano(), []member.Record{self}
+	p.Sent, p.Records, p.Text = now.UnixNano(), []member.Record{self}, self.Operators
 	if err := s.write(r.Datagrams, p); err != nil {
 		s.log.WithError(err).Debug("greeting not sent")
 	}
--- a/internal/fleet/roster/packet.go
+++ b/internal/fleet/roster/packet.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 )
@@ -16,11 +15,11 @@
 	maxRecords = 3
 )
 
-// beat names a member, the version of its record and its latest pulse.
+// beat names a member and the version of its record.
 type beat struct {
-	ID    string `json:"i"`
-	Beat  uint64 `json:"b"`
-	Pulse uint64 `json:"p"`
+	ID     string        `json:"i"`
+	Beat   uint64        `json:"b"`
+	Status member.Status `json:"s,omitempty"`
 }
 
 // packet is one datagram between nodes.
@@ -34,8 +33,13 @@
 	// proved to be the newest, in milliseconds.
 	Version uint64 `json:"cfg,omitempty"`
 	Age     int64  `json:"age,omitempty"`
-	// Text is where the configuration can be had, IP:port.
-	Text    string          `json:"text,omitempty"`
+	// Text is where the configuration can be had, IP:port; empty for receivers
+	// that have the sender's record.
+	Text string `json:"text,omitempty"`
+	// Digest is that of the sender's members; zero if it doesn't say.
+	Digest uint64 `json:"sum,omitempty"`
+	// Beats name members of the sender; they are told to a peer whose digest is
+	// another.
 	Beats   []beat          `json:"beats,omitempty"`
 	Records []member.Record `json:"recs,omitempty"`
 	Want    []string        `json:"want,omitempty"`
@@ -45,9 +49,3 @@
 	// Notes are what services add to every exchange.
 	Notes map[string]json.RawMessage `json:"notes,omitempty"`
 }
-
-// pulse is the newest sign of life of a member.
-type pulse struct {
-	count uint64
-	at    time.Time
-}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -1,11 +1,13 @@
 // Package roster keeps track of the nodes of the fleet by datagrams.
 //
-// Every node sends a few datagrams a second, whatever the size of the fleet:
-// to a peer of its zone, now and then to one elsewhere. Each names some members
-// with the versions of their records and their latest pulses; a receiver asks
-// for records that it lacks. Changes of an own record go out at once. Answers
-// echo the time at which they were asked for, so that what they prove of the
-// configuration is dated by the asker's clock.
+// Every node probes a few peers a second, whatever the size of the fleet: one
+// of its zone, now and then one elsewhere. A peer that does not answer is
+// doubted, and refutes that if it lives (the way of SWIM, Das et al. 2002).
+// Changes of a record go out at once. Probes carry a digest of what is known;
+// where two digests differ, members are named with the versions of their
+// records, and a receiver asks for those that it lacks. Answers echo the time
+// at which they were asked for, so that what they prove of the configuration
+// is dated by the asker's clock.
 package roster
 
 import (
@@ -23,6 +25,7 @@
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/liveness"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"github.com/sirupsen/logrus"
 )
@@ -35,13 +38,16 @@
 	tick = 250 * time.Millisecond
 	// farEvery is the number of ticks between exchanges with another zone.
 	farEvery = 4
-	// silentAfter is how long a member without a new pulse counts as running:
-	// ten ticks, in which news crosses a fleet of thousands.
-	silentAfter = 2500 * time.Millisecond
+	// strikeAfter is how long a node has been doubted before its entry in the
+	// directory is removed: longer than a VM stands still or is cut off.
+	strikeAfter = 10 * time.Second
 	// forgetAfter is how long a silent member counts for majorities.
 	forgetAfter = 2 * time.Minute
 	// fanout is the number of peers that a change is sent to at once.
 	fanout = 4
+	// firstPeers is the number of peers of a zone that may probe its first node
+	// every other tick; in larger zones each does so less often.
+	firstPeers = 32
 	// stall is a gap between ticks that means this node stood still.
 	stall = time.Second
 	// joinEvery is the time between readings of the directory while peers are
@@ -95,10 +101,9 @@
 	conn      *net.UDPConn
 	topics    map[string]Topic
 
-	mu     sync.Mutex
-	table  *member.Table
-	pulses map[string]pulse
-	own    uint64
+	mu    sync.Mutex
+	table *member.Table
+	watch *liveness.Watch
 	// listed is the number of nodes that the directory named last.
 	listed int
 	ticked time.Time
@@ -121,7 +126,7 @@
 	self.Started = time.Now().UnixNano()
 	return &Service{
 		node: o.Node, directory: d, news: news, log: log, conn: conn, topics: map[string]Topic{},
-		table: member.New(now, self), pulses: map[string]pulse{}, ticked: now,
+		table: member.New(now, self), watch: liveness.New(now), ticked: now,
 	}, nil
 }
 
@@ -175,17 +180,20 @@
 	return s.table.Get(id)
 }
 
-// silent reports whether a member gave no sign of life lately. The mutex is
-// held.
+// silent reports whether a member is doubted, or was not heard lately by this
+// node while it is cut off. The mutex is held.
 func (s *Service) silent(now time.Time, id string) bool {
 	if id == s.table.Self().ID {
 		return false
 	}
-	p, ok := s.pulses[id]
-	return !ok || now.Sub(p.at) > silentAfter
+	r, ok := s.table.Get(id)
+	if !ok || r.Status != member.Alive {
+		return true
+	}
+	return s.watch.Alone(now) && !s.watch.Recent(now, id)
 }
 
-// Silent reports whether a member gave no sign of life lately.
+// Silent reports whether a member is doubted or out of this node's reach.
 func (s *Service) Silent(now time.Time, id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -202,7 +210,7 @@
 		if r.Gone() || r.Proven {
 			return
 		}
-		if p, ok := s.pulses[r.ID]; ok && now.Sub(p.at) > forgetAfter {
+		if r.Status == member.Suspect && now.Sub(s.table.Changed(r.ID)) > forgetAfter {
 			return
 		}
 		known++
@@ -250,8 +258,7 @@
 
 // hello is a datagram with nothing but who sends it and what it has in force.
 func (s *Service) hello(now time.Time) packet {
-	self := s.Self()
-	p := packet{From: self.ID, Version: s.news.Version(), Text: self.Operators}
+	p := packet{From: s.Self().ID, Version: s.news.Version()}
 	p.Age = s.news.Age(now).Milliseconds()
 	return p
 }
