--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -176,6 +176,7 @@
 	if r.ID == t.self {
 		return t.refute(now, r)
 	}
+	t.follow(now, r)
 	if e, ok := t.entries[r.ID]; ok && !outranks(r, e.record) {
 		return r, false
 	}
@@ -213,6 +214,17 @@
 	return own, true
 }
 
+// follow takes a start later than that of another incarnation at the own
+// address: that one is gone, whatever the clock said when it started.
+func (t *Table) follow(now time.Time, r Record) {
+	own := t.Self()
+	if r.Address != own.Address || r.Started < own.Started || own.Status == Left {
+		return
+	}
+	own.Started = r.Started + 1
+	t.put(now, own.WithBeat(own.Beat+1))
+}
+
 func outranks(r, known Record) bool {
 	if (known.Status == Left) != (r.Status == Left) {
 		return r.Status == Left
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -52,6 +52,29 @@
 	is.Equal(late.Status, member.Dead)
 }
 
+// A clock that was set back between two starts doesn't keep the second one out.
+func TestNewIncarnationWithAnEarlierClock(t *testing.T) {
+	is := is.New(t)
+	peer := member.New(start, record("peer", "a:1", 1))
+	old := record("old", "a:2", 9000)
+	peer.Learn(start, old)
+	table := member.New(start, record("new", "a:2", 7000))
+	dead, _ := peer.Learn(start, table.Self())
+	is.Equal(dead.Status, member.Dead) // as far as the clocks say
+	table.Learn(start, old)
+	table.Learn(start, dead)
+	own := table.Self()
+	is.Equal(own.Status, member.Alive)
+	is.True(own.Started > old.Started)
+	ended, _ := table.Get("old")
+	is.Equal(ended.Status, member.Dead)
+	peer.Learn(start, own)
+	seen, _ := peer.Get("new")
+	is.Equal(seen.Status, member.Alive)
+	ended, _ = peer.Get("old")
+	is.Equal(ended.Status, member.Dead)
+}
+
 func TestHeirs(t *testing.T) {
 	is := is.New(t)
 	table := member.New(start, record("me", "a:1", 1))
