--- a/internal/config/settings/mesh.go
+++ b/internal/config/settings/mesh.go
@@ -32,6 +32,14 @@
 	Slack float64 `json:"slack"`
 }
 
+// Public are addresses at which other nodes reach a node, IP:port, where they
+// differ from those that it listens on: behind a translation of addresses or a
+// forwarder. Empty ones don't differ.
+type Public struct {
+	Peers     string `json:"peers,omitempty"`
+	Datagrams string `json:"datagrams,omitempty"`
+}
+
 // Mesh are the settings of a node whose callers are on its own VM.
 type Mesh struct {
 	// Node is the name that stays the same over restarts.
@@ -54,6 +62,7 @@
 	Announcements string `json:"announcements"`
 	Datagrams     string `json:"datagrams"`
 	Operators     string `json:"operators"`
+	Public        Public `json:"public,omitzero"`
 	// Metrics is a second address of the metrics, if one is wanted.
 	Metrics string `json:"metrics,omitempty"`
 	// Store is where the platform keeps objects, IP:port.
@@ -80,6 +89,12 @@
 	if m.Level == "" {
 		m.Level = "info"
 	}
+	if m.Public.Peers == "" {
+		m.Public.Peers = m.Peers
+	}
+	if m.Public.Datagrams == "" {
+		m.Public.Datagrams = m.Datagrams
+	}
 	return m
 }
 
@@ -108,6 +123,14 @@
 			add(f.name, "must be IP:port, got %q", f.value)
 		}
 	}
+	for _, f := range []struct{ name, value, own string }{
+		{"public.peers", m.Public.Peers, m.Peers},
+		{"public.datagrams", m.Public.Datagrams, m.Datagrams},
+	} {
+		if _, _, err := net.SplitHostPort(f.value); err != nil && f.value != f.own {
+			add(f.name, "must be IP:port, got %q", f.value)
+		}
+	}
 	if m.Grace < 0 || m.Revoke < 0 || m.Memory < 0 || m.Files < 0 {
 		add("grace, revoke, memory, files", "must not be negative")
 	}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -88,6 +88,9 @@
 type Options struct {
 	// Node is the name that stays the same over restarts.
 	Node string
+	// Listen is where the node takes datagrams, IP:port; Self names the address
+	// at which others reach it.
+	Listen string
 	// Self is the node's own record; its ID is filled in.
 	Self member.Record
 }
@@ -113,7 +116,7 @@
 
 // New opens the datagram socket of a node.
 func New(now time.Time, o Options, d Directory, news News, log *logrus.Entry) (*Service, error) {
-	address, err := net.ResolveUDPAddr("udp", o.Self.Datagrams)
+	address, err := net.ResolveUDPAddr("udp", o.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("datagram address: %w", err)
 	}
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -110,7 +110,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	n := &news{version: 1, age: time.Hour}
-	s, err := roster.New(clock.Now(), roster.Options{Node: name, Self: member.Record{
+	s, err := roster.New(clock.Now(), roster.Options{Node: name, Listen: at, Self: member.Record{
 		Address: at, Datagrams: at, Zone: zone, Region: "r",
 	}}, d, n, logrus.NewEntry(log))
 	is.New(t).NoErr(err)
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -93,8 +93,8 @@
 	now := clock.Now()
 	n.config = follow.New(seams.Source, s.Revoke.Duration(), n.named(follow.Name))
 	var err error
-	n.roster, err = roster.New(now, roster.Options{Node: s.Node, Self: member.Record{
-		Address: s.Peers, Operators: s.Operators, Datagrams: s.Datagrams, Zone: s.Zone, Region: s.Region,
+	n.roster, err = roster.New(now, roster.Options{Node: s.Node, Listen: s.Datagrams, Self: member.Record{
+		Address: s.Public.Peers, Operators: s.Operators, Datagrams: s.Public.Datagrams, Zone: s.Zone, Region: s.Region,
 	}}, seams.Directory, n.config, n.named(roster.Name))
 	if err != nil {
 		return nil, fmt.Errorf("open roster: %w", err)
