Forgotten idle connections cost one fresh connection, not a failed request

A request that can be repeated goes on a fresh connection when a connection that rested for 50 ms or more is reset within 25 ms; the pool then uses none that rested half as long for 20 s, so that others fail once at most a target.

--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -307,13 +307,13 @@
 	out.Header = r.Header.Clone()
 	httpconn.StripHop(out.Header)
 	s.dialect.Outgoing(out.Header, c.WithLeft(left))
-	maxAge := time.Duration(0)
+	reuse := httpconn.Reuse{Again: c.Idempotent}
 	if !c.Idempotent {
-		maxAge = freshFor
+		reuse.Rested = freshFor
 	}
 	s.runs.Inc()
 	s.count(c, 1)
-	resp, err := s.pool.Do(ctx, &out, maxAge)
+	resp, err := s.pool.Do(ctx, &out, reuse)
 	s.count(c, -1)
 	now := clock.Now()
 	s.took.Update(now.Sub(began).Seconds())
--- a/internal/traffic/httpconn/httpconn_test.go
+++ b/internal/traffic/httpconn/httpconn_test.go
@@ -223,7 +223,7 @@
 			p := pool(address)
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 			defer cancel()
-			resp, err := p.Do(ctx, get("1"), 0)
+			resp, err := p.Do(ctx, get("1"), httpconn.Reuse{})
 			if test.wrong {
 				is.True(err != nil)
 				is.True(!errors.Is(err, httpconn.ErrNotSent))
@@ -232,7 +232,7 @@
 			is.NoErr(err)
 			is.Equal(string(resp.Body), test.body)
 			time.Sleep(20 * time.Millisecond)
-			_, _ = p.Do(ctx, get("2"), 0)
+			_, _ = p.Do(ctx, get("2"), httpconn.Reuse{})
 			is.Equal(conns.Load(), test.conns)
 		})
 	}
@@ -244,7 +244,7 @@
 	is.NoErr(err)
 	address := l.Addr().String()
 	_ = l.Close()
-	_, err = pool(address).Do(context.Background(), get("1"), 0)
+	_, err = pool(address).Do(context.Background(), get("1"), httpconn.Reuse{})
 	is.True(errors.Is(err, httpconn.ErrNotSent))
 }
 
@@ -273,15 +273,67 @@
 		}
 	}()
 	p := pool(l.Addr().String())
-	_, err = p.Do(context.Background(), get("1"), 0)
+	_, err = p.Do(context.Background(), get("1"), httpconn.Reuse{})
 	is.NoErr(err)
 	<-closed
 	time.Sleep(20 * time.Millisecond)
-	_, err = p.Do(context.Background(), get("2"), 0)
+	_, err = p.Do(context.Background(), get("2"), httpconn.Reuse{})
 	is.NoErr(err)
 	is.Equal(p.Dials(), uint64(2))
 }
 
+// A connection that the other end has forgotten without notice costs a request
+// that can be repeated a fresh connection, and others one failure: afterwards
+// connections that rested as long are not used.
+func TestForgottenWhileIdle(t *testing.T) {
+	const rest = 120 * time.Millisecond
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go forget(c, rest)
+		}
+	}()
+	for _, again := range []bool{true, false} {
+		p := pool(l.Addr().String())
+		failed := 0
+		for range 6 {
+			if _, err := p.Do(context.Background(), get("1"), httpconn.Reuse{Again: again}); err != nil {
+				failed++
+			}
+			time.Sleep(rest * 3 / 2)
+		}
+		if again {
+			is.Equal(failed, 0)
+		} else {
+			is.Equal(failed, 1)
+		}
+	}
+}
+
+// forget answers requests, and resets those that come after a rest.
+func forget(c net.Conn, rest time.Duration) {
+	in, last := bufio.NewReader(c), time.Now()
+	for {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		if time.Since(last) > rest {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			return
+		}
+		_, _ = io.WriteString(c, answer("", "x"))
+		last = time.Now()
+	}
+}
+
 // Callers that come back on a new connection each time don't use up the
 // descriptors: answers close their connections once there are many, and idle
 // ones make room.
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -24,6 +26,14 @@
 	defaultIdle = 8 * time.Second
 	// foreign bounds the number of answers to earlier requests that are skipped.
 	foreign = 3
+	// forgottenRest and forgottenTime tell a connection that the other end has
+	// forgotten from an answer that was lost: it had rested for at least the
+	// first, and its reset came within the second, several ways between zones.
+	forgottenRest = 50 * time.Millisecond
+	forgottenTime = 25 * time.Millisecond
+	// doubtFor is how long connections that rested half as long as a forgotten
+	// one are not used.
+	doubtFor = 20 * time.Second
 )
 
 // ErrNotSent marks an exchange of which no byte was sent.
@@ -50,6 +60,19 @@
 	mu    sync.Mutex
 	idle  []*clientConn
 	dials uint64
+	// trusted is how long connections may rest until doubtUntil, after the
+	// other end forgot one that had rested for longer.
+	trusted    time.Duration
+	doubtUntil time.Time
+}
+
+// Reuse says which idle connections a request may take.
+type Reuse struct {
+	// Rested bounds the time that the connection was idle; 0 is no bound.
+	Rested time.Duration
+	// Again lets a request that can be repeated go on a fresh connection when
+	// the other end has forgotten the idle one.
+	Again bool
 }
 
 type clientConn struct {
@@ -81,14 +104,30 @@
 	}
 }
 
-// Do sends a request and reads the whole answer. Fresh connections are used
-// where the idle one would be older than maxIdle, if that is above 0. It
-// returns an error that wraps ErrNotSent when nothing was sent.
-func (p *Pool) Do(ctx context.Context, r *Request, maxIdle time.Duration) (*Response, error) {
-	c, err := p.get(ctx, maxIdle)
+// Do sends a request and reads the whole answer. It returns an error that wraps
+// ErrNotSent when nothing was sent.
+func (p *Pool) Do(ctx context.Context, r *Request, reuse Reuse) (*Response, error) {
+	c, err := p.get(ctx, reuse.Rested)
 	if err != nil {
 		return nil, err
 	}
+	rested, began := c.rested(time.Now()), time.Now()
+	resp, err := p.exchange(ctx, c, r)
+	if !forgotten(err, rested, time.Since(began)) {
+		return resp, err
+	}
+	p.doubt(time.Now(), rested)
+	if !reuse.Again {
+		return resp, err
+	}
+	if c, err = p.dial(ctx); err != nil {
+		return nil, err
+	}
+	return p.exchange(ctx, c, r)
+}
+
+// exchange uses a connection for one request.
+func (p *Pool) exchange(ctx context.Context, c *clientConn, r *Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
 	resp, keep, err := c.exchange(r, p.options)
 	if !stop() {
@@ -105,35 +144,69 @@
 	return resp, err
 }
 
+// forgotten reports whether an exchange failed since the other end had dropped
+// the connection while it rested.
+func forgotten(err error, rested, took time.Duration) bool {
+	if err == nil || rested < forgottenRest || took > forgottenTime {
+		return false
+	}
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
+		errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// doubt shortens the rest of connections for a while.
+func (p *Pool) doubt(now time.Time, rested time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.After(p.doubtUntil) || rested/2 < p.trusted {
+		p.trusted = rested / 2
+	}
+	p.doubtUntil = now.Add(doubtFor)
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-func (p *Pool) get(ctx context.Context, maxIdle time.Duration) (*clientConn, error) {
+func (p *Pool) get(ctx context.Context, mostRest time.Duration) (*clientConn, error) {
 	for {
-		c := p.take()
+		c, trusted := p.take(time.Now())
 		if c == nil {
 			return p.dial(ctx)
 		}
 		now := time.Now()
-		if now.Before(c.until) && (maxIdle == 0 || now.Sub(c.since) < maxIdle) && c.in.Buffered() == 0 && quiet(c.conn) {
+		fresh := (mostRest == 0 || c.rested(now) < mostRest) && (trusted == 0 || c.rested(now) < trusted)
+		if fresh && now.Before(c.until) && c.in.Buffered() == 0 && quiet(c.conn) {
 			return c, nil
 		}
 		_ = c.conn.Close()
 	}
 }
 
-func (p *Pool) take() *clientConn {
+// rested is how long a connection was idle; 0 for one that is new.
+func (c *clientConn) rested(now time.Time) time.Duration {
+	if c.since.IsZero() {
+		return 0
+	}
+	return now.Sub(c.since)
+}
+
+// take returns the connection used last and how long it may have rested; 0 is
+// no bound.
+func (p *Pool) take(now time.Time) (*clientConn, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := len(p.idle)
 	if n == 0 {
-		return nil
+		return nil, 0
 	}
 	c := p.idle[n-1]
 	p.idle = p.idle[:n-1]
-	return c
+	if now.After(p.doubtUntil) {
+		return c, 0
+	}
+	return c, max(p.trusted, time.Nanosecond)
 }
 
 func (p *Pool) put(c *clientConn) {
