Targets that turn half away stay in use; callers' extra sends go before those of inner calls

A rejection counted as a failure, so that the ratio of each crossed 0.6 by chance and the node refused all but five calls a second for its target: room was lost just then. Calls of targets (44 of 45 sends there) also took the whole budget of second sends, each of which saves a request only if four others succeed as well. Now a rejection counts 0.7 of a failure; calls of targets leave a reserve of one send a node to callers; a caller's request that a target turned away may go to the same target again, up to four refusals, within the budget and the route's targets.

--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -10,13 +10,38 @@
 	// failingOver and healthyUnder are the bounds of the failure ratio between
 	// which the judgement stays as it is.
 	failingOver  = 0.6
-	healthyUnder = 0.3
+	healthyUnder = 0.4
+	// turnedAway is what a request that the target turned away counts, in
+	// failures: it did not run and may be sent elsewhere, so that only a target
+	// that turns away nearly all is left alone. Leaving alone those that turn
+	// away half would take room from a service that needs it most.
+	turnedAway = 0.7
 	// minAnswers is the least number of answers for a judgement.
 	minAnswers = 8
 	// probeEvery is the time between requests let through to a failing target.
 	probeEvery = 200 * time.Millisecond
 )
 
+// Answer is what a target gave a request.
+type Answer int
+
+// The answers: a success, a failure, or that the target did not run it.
+const (
+	Good Answer = iota
+	Bad
+	TurnedAway
+)
+
+func (a Answer) weight() float64 {
+	switch a {
+	case Bad:
+		return 1
+	case TurnedAway:
+		return turnedAway
+	}
+	return 0
+}
+
 // Health is an immutable judgement of one target. The zero value is healthy.
 type Health struct {
 	ratio   float64
@@ -32,13 +57,9 @@
 func (h Health) Ratio() float64 { return h.ratio }
 
 // WithAnswer returns the judgement after one more answer.
-func (h Health) WithAnswer(failed bool) Health {
-	sample := 0.0
-	if failed {
-		sample = 1
-	}
+func (h Health) WithAnswer(a Answer) Health {
 	h.answers++
-	h.ratio += (sample - h.ratio) * max(memory, 1/float64(h.answers))
+	h.ratio += (a.weight() - h.ratio) * max(memory, 1/float64(h.answers))
 	switch {
 	case h.answers < minAnswers:
 	case h.ratio > failingOver:
--- a/internal/policy/intake/intake.go
+++ b/internal/policy/intake/intake.go
@@ -115,8 +115,13 @@
 // another now.
 func (i *Intake) Done(now time.Time, id uint64, result gate.Result, failed bool) (moves gate.Moves, changed bool) {
 	before := i.health.Failing()
-	if result != gate.Aborted || failed {
-		i.health = i.health.WithAnswer(failed)
+	switch {
+	case failed && result == gate.Rejected:
+		i.health = i.health.WithAnswer(health.TurnedAway)
+	case failed:
+		i.health = i.health.WithAnswer(health.Bad)
+	case result != gate.Aborted:
+		i.health = i.health.WithAnswer(health.Good)
 	}
 	return i.gate.Done(now, id, result), before != i.health.Failing()
 }
--- a/internal/traffic/relay/place.go
+++ b/internal/traffic/relay/place.go
@@ -9,6 +9,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/resend"
+	"chestnutshed.example/chestnutshed/internal/policy/spare"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 )
@@ -37,7 +38,7 @@
 }
 
 func (s *Service) expired(q *request) *verdict {
-	if q.runs == 0 && !q.lost {
+	if q.runs == q.turned && !q.lost {
 		return &verdict{http.StatusServiceUnavailable, failure.Deadline, noTargetAfter}
 	}
 	return &verdict{http.StatusGatewayTimeout, failure.Deadline, 0}
@@ -77,7 +78,8 @@
 	case call.Refused:
 		if o.Arrived {
 			q.runs++
-			if s.again(q) {
+			q.turned++
+			if s.again(q) || s.stays(q) {
 				return nil, nil, true
 			}
 			return nil, &verdict{http.StatusServiceUnavailable, o.Reason, s.after(q, o.Reason, o.After)}, false
@@ -101,10 +103,24 @@
 
 // again reports whether the request may go to one more target.
 func (s *Service) again(q *request) bool {
-	if q.runs >= max(q.route.Attempts, 1) {
-		return false
+	return q.runs < max(q.route.Attempts, 1) && s.spend(q)
+}
+
+// stays reports whether a caller's request goes to the same target once more,
+// which turned it away without running it: the route bounds the targets that a
+// request is sent to, and a target that refuses at random may take it now.
+func (s *Service) stays(q *request) bool {
+	q.stay = q.org != nil && q.turned == q.runs && q.turned < turns && s.spend(q)
+	return q.stay
+}
+
+// spend takes one extra send from the budget, if there is one.
+func (s *Service) spend(q *request) bool {
+	from := spare.Caller
+	if q.org == nil {
+		from = spare.Target
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.extra.Extra(q.call.Service)
+	return s.extra.Extra(q.call.Service, from)
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -41,6 +41,9 @@
 	maxAnswer = 32 << 20
 	// places is the number of nodes that are asked for a slot.
 	places = 3
+	// turns is the number of refusals by targets after which a request is
+	// refused: where half of all sends are, nine in ten pass before.
+	turns = 4
 	// answerGrace is how long past the request's time a peer's final word is
 	// awaited.
 	answerGrace = 80 * time.Millisecond
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -17,7 +17,14 @@
 func (s *Service) choose(now time.Time, q *request) (choice.Pick, *failure.Refusal) {
 	records := s.Roster.Serving(now, q.call.Service)
 	all := make([]choice.Candidate, 0, len(records))
+	tried := q.tried
+	if q.stay {
+		tried = nil
+	}
 	for _, r := range records {
+		if q.stay && r.ID != q.tried[len(q.tried)-1] {
+			continue
+		}
 		all = append(all, choice.Candidate{
 			ID: r.ID, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Since: s.Roster.Ready(r.ID), Failing: r.Failing,
 		})
@@ -25,7 +32,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pick, refusal := s.chooser.Choose(now, all, choice.Call{
-		Route: q.route.Name, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Tried: q.tried,
+		Route: q.route.Name, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Tried: tried,
 	})
 	if refusal == nil {
 		s.chooser.Sent(pick.Candidate.ID)
--- a/internal/traffic/relay/request.go
+++ b/internal/traffic/relay/request.go
@@ -28,9 +28,13 @@
 	quota    string
 	call     call.Call
 	tried    []string
-	runs     int
-	lost     bool
-	outcome  call.Outcome
+	// runs is the number of sends that reached a target or may have, turned
+	// that of those which it refused to run.
+	runs, turned int
+	// stay is set when the next send goes to the target tried last.
+	stay    bool
+	lost    bool
+	outcome call.Outcome
 }
 
 // verdict is the relay's own answer.
