Second sends are counted where they arrive

A target's node now counts first and second sends to it. The node where a call fails pays for the next send if it can; otherwise the next target's node does. After a denied send the caller gets the answer it would have got without it.

--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -101,7 +101,10 @@
 	}
 	n.rates = allowance.New(clock.Now, n.roster, n.config, n.named(allowance.Name))
 	n.roster.Share(allowance.Name, n.rates)
-	n.guard = guard.New(s.Target, seams.Dialect, n.announced, n.set, n.named(guard.Name))
+	n.guard = guard.New(guard.Options{
+		Address: s.Target, Extra: spare.Terms{Ratio: s.Extra.Ratio, Slack: s.Extra.Slack}, Heard: n.announced,
+		Targets: func(service string) int { return len(n.roster.Serving(clock.Now(), service)) },
+	}, seams.Dialect, n.set, n.named(guard.Name))
 	n.relay = relay.New(s.Zone, n.terms(s), relay.Parts{
 		Dialect: seams.Dialect, Config: n.config, Roster: n.roster, Allowance: n.rates,
 		Guard: n.guard, Set: n.set, Log: n.named(relay.Name),
@@ -122,7 +125,6 @@
 func (n *Node) terms(s settings.Mesh) relay.Terms {
 	return relay.Terms{
 		KeyAge:  s.Revoke.Duration() - keyMargin,
-		Extra:   spare.Terms{Ratio: s.Extra.Ratio, Slack: s.Extra.Slack},
 		Service: s.Service,
 	}
 }
--- a/internal/policy/spare/spare.go
+++ b/internal/policy/spare/spare.go
@@ -1,5 +1,10 @@
 // Package spare bounds the second sends to each service, so that all nodes
 // together stay below a part of the first sends plus a fixed number.
+//
+// A serving node counts what reaches its target: there the first sends of all
+// callers' nodes meet, and so do the second ones. Counted at callers' nodes, the
+// credit stays where most first sends are made, and a node with few requests has
+// none when it needs it.
 package spare
 
 // Terms bound the extra sends to one service over a window, fleet-wide.
@@ -34,7 +39,7 @@
 	Target
 )
 
-// Budget counts sends of one node. It is not safe for concurrent use.
+// Budget counts sends to one of a service's targets. It is not safe for concurrent use.
 type Budget struct {
 	terms  Terms
 	credit map[string]float64
@@ -43,33 +48,40 @@
 // New returns a budget without history.
 func New(t Terms) *Budget { return &Budget{terms: t, credit: map[string]float64{}} }
 
-// part is this node's part of the slack, in extra sends.
-func (b *Budget) part(nodes int) float64 {
-	return b.terms.Slack * slackPart / float64(max(nodes, 1))
+// part is one target's part of the slack, in extra sends.
+func (b *Budget) part(targets int) float64 {
+	return b.terms.Slack * slackPart / float64(max(targets, 1))
+}
+
+// balance is the credit for a service; a new one starts with a part of the slack.
+func (b *Budget) balance(service string, targets int) float64 {
+	if _, ok := b.credit[service]; !ok {
+		b.credit[service] = b.part(targets)
+	}
+	return b.credit[service]
 }
 
 // First counts a first send to a service. Inherited is the part of it that is a
 // repeat already, since the run that makes the call is one: it is charged, so
 // that along a chain of services repeats add up to the ratio and no more.
-func (b *Budget) First(service string, nodes int, inherited float64) {
-	part := b.part(nodes)
-	most := max(1, part) + reserve
-	credit, ok := b.credit[service]
-	if !ok {
-		credit = part
-	}
-	b.credit[service] = max(-most, min(most, credit+b.terms.Ratio*ratioPart-inherited))
+func (b *Budget) First(service string, targets int, inherited float64) {
+	most := max(1, b.part(targets)) + reserve
+	credit := b.balance(service, targets) + b.terms.Ratio*ratioPart - inherited
+	b.credit[service] = max(-most, min(most, credit))
 }
 
 // Extra reports whether one more send to a service is allowed, and counts it.
-func (b *Budget) Extra(service string, from Origin) bool {
+func (b *Budget) Extra(service string, targets int, from Origin) bool {
 	need := 1.0
 	if from == Target {
 		need += reserve
 	}
-	if b.credit[service] < need {
+	if b.balance(service, targets) < need {
 		return false
 	}
 	b.credit[service]--
 	return true
 }
+
+// Return takes back an extra send that was not made.
+func (b *Budget) Return(service string) { b.credit[service]++ }
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -42,6 +42,12 @@
 	// Repeat is the part of the call that is a repeat: 1 for a second send, and
 	// for a first one what its caller inherited.
 	Repeat float64 `json:"rep,omitempty"`
+	// Again is set on a second send, and Paid on one that the node of the target
+	// before has counted.
+	Again bool `json:"again,omitempty"`
+	Paid  bool `json:"paid,omitempty"`
+	// Last is set when no further send will follow.
+	Last bool `json:"last,omitempty"`
 	// Forced lets the call through to a target that seems to fail.
 	Forced bool `json:"forced,omitempty"`
 }
@@ -55,6 +61,13 @@
 	return c
 }
 
+// WithRepeat returns a copy that is a second send of the call, counted by the
+// node of the target before if it is paid.
+func (c Call) WithRepeat(paid bool) Call {
+	c.Repeat, c.Again, c.Paid = 1, true, paid
+	return c
+}
+
 // WithLeft returns a copy with the time that is left now.
 func (c Call) WithLeft(left time.Duration) Call {
 	c.Left = left.Milliseconds()
@@ -64,9 +77,14 @@
 // Outcome is what came of a call: Answered, Refused or Lost.
 type Outcome interface{ outcome() }
 
+// Spare is set in an outcome when the node has counted one more send of the
+// call, which may then go to another target.
+type Spare bool
+
 // Answered is a target's whole answer.
 type Answered struct {
 	Response *httpconn.Response
+	Spare    Spare
 	// Inner is set when a call that the target made failed meanwhile: that was
 	// sent again already, where it may be.
 	Inner bool
@@ -79,12 +97,14 @@
 	After time.Duration
 	// Arrived is set when the target itself turned the call away.
 	Arrived bool
+	Spare   Spare
 }
 
 // Lost means that the call may have run, without a whole answer.
 type Lost struct {
 	Reason failure.Reason
 	Err    error
+	Spare  Spare
 }
 
 func (Answered) outcome() {}
@@ -110,6 +130,7 @@
 	After   int64          `json:"after,omitempty"`
 	Arrived bool           `json:"arrived,omitempty"`
 	Inner   bool           `json:"inner,omitempty"`
+	Spare   Spare          `json:"spare,omitempty"`
 	Detail  string         `json:"detail,omitempty"`
 }
 
@@ -139,12 +160,12 @@
 	resp := &httpconn.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
 	switch o := o.(type) {
 	case Answered:
-		r.Kind, r.Inner = "whole", o.Inner
+		r.Kind, r.Inner, r.Spare = "whole", o.Inner, o.Spare
 		resp = &httpconn.Response{Status: o.Response.Status, Header: o.Response.Header, Body: o.Response.Body}
 	case Refused:
-		r.Kind, r.Reason, r.After, r.Arrived = "refused", o.Reason, o.After.Milliseconds(), o.Arrived
+		r.Kind, r.Reason, r.After, r.Arrived, r.Spare = "refused", o.Reason, o.After.Milliseconds(), o.Arrived, o.Spare
 	case Lost:
-		r.Kind, r.Reason = "lost", o.Reason
+		r.Kind, r.Reason, r.Spare = "lost", o.Reason, o.Spare
 		if o.Err != nil {
 			r.Detail = o.Err.Error()
 		}
@@ -166,15 +187,15 @@
 	resp.Header.Del(resultHeader)
 	switch r.Kind {
 	case "whole":
-		return Answered{resp, r.Inner}, r.Load, nil
+		return Answered{Response: resp, Inner: r.Inner, Spare: r.Spare}, r.Load, nil
 	case "refused":
-		return Refused{r.Reason, time.Duration(r.After) * time.Millisecond, r.Arrived}, r.Load, nil
+		return Refused{r.Reason, time.Duration(r.After) * time.Millisecond, r.Arrived, r.Spare}, r.Load, nil
 	case "lost":
 		var err error
 		if r.Detail != "" {
 			err = fmt.Errorf("peer: %s", r.Detail)
 		}
-		return Lost{r.Reason, err}, r.Load, nil
+		return Lost{r.Reason, err, r.Spare}, r.Load, nil
 	}
 	return nil, Load{}, fmt.Errorf("decode result: kind %q is unknown", r.Kind)
 }
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -20,6 +20,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/level"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/resend"
+	"chestnutshed.example/chestnutshed/internal/policy/spare"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"github.com/VictoriaMetrics/metrics"
@@ -63,6 +64,8 @@
 	waiting map[uint64]chan step
 	// innerFailed is when a call of the target last failed.
 	innerFailed time.Time
+	extra       *spare.Budget
+	targets     func(service string) int
 	// running is the number of calls at the target, and repeats the sum of
 	// their parts that are repeats.
 	running, repeats float64
@@ -81,17 +84,29 @@
 	reason  failure.Reason
 }
 
-// New returns the service for the target at an address.
-func New(address string, d call.Dialect, heard Listener, set *metrics.Set, log *logrus.Entry) *Service {
+// Options of the service.
+type Options struct {
+	// Address is the target's, IP:port.
+	Address string
+	// Extra bounds second sends to a service over all its targets.
+	Extra spare.Terms
+	// Targets is the number of targets of a service.
+	Targets func(service string) int
+	// Heard hears of changes of the target.
+	Heard Listener
+}
+
+// New returns the service for a target.
+func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
-		dialect: d, log: log, heard: heard,
+		dialect: d, log: log, heard: o.Heard, extra: spare.New(o.Extra), targets: o.Targets,
 		intake: intake.New(gate.Sidecar()), waiting: map[uint64]chan step{}, holds: map[string]float64{},
 		runs:     set.NewCounter("target_calls_total"),
 		refusals: set.NewCounter("target_refusals_total"),
 		losses:   set.NewCounter("target_losses_total"),
 		took:     set.NewHistogram("target_seconds"),
 	}
-	s.pool = httpconn.NewPool(address, httpconn.Options{
+	s.pool = httpconn.NewPool(o.Address, httpconn.Options{
 		DialTimeout: dialTimeout, MaxIdle: maxIdle, MaxAnswer: maxAnswer,
 		Mine: func(r *httpconn.Request, h http.Header) bool {
 			id := d.Reply(http.StatusOK, h).ID
@@ -217,11 +232,16 @@
 
 // admit gets a slot for a call, or says why there is none.
 func (s *Service) admit(ctx context.Context, now time.Time, id uint64, c call.Call, until time.Time) *call.Refused {
+	targets := s.targets(c.Service)
 	s.mu.Lock()
 	if refused := s.mismatch(now, c); refused != nil {
 		s.mu.Unlock()
 		return refused
 	}
+	if c.Again && !c.Paid && !s.extra.Extra(c.Service, targets, origin(c)) {
+		s.mu.Unlock()
+		return &call.Refused{Reason: failure.Retries}
+	}
 	verdict, moves := s.intake.Offer(now, gate.Request{
 		ID: id, Route: c.Route, Score: c.Score, Organisation: c.Organisation,
 		Share: 1, Depth: c.Depth, Deadline: until,
@@ -233,13 +253,27 @@
 	}
 	s.signal(moves)
 	s.mu.Unlock()
+	var refused *call.Refused
 	switch v := verdict.(type) {
 	case gate.Refuse:
-		return &call.Refused{Reason: v.Reason, After: v.After}
-	case gate.Start:
-		return nil
+		refused = &call.Refused{Reason: v.Reason, After: v.After}
+	case gate.Wait:
+		refused = s.await(ctx, id, ch, time.Duration(c.Patience)*time.Millisecond)
+	}
+	if refused != nil && c.Again && !c.Paid {
+		s.mu.Lock()
+		s.extra.Return(c.Service)
+		s.mu.Unlock()
+	}
+	return refused
+}
+
+// origin tells whether a caller or a target made the request.
+func origin(c call.Call) spare.Origin {
+	if c.Depth > 1 {
+		return spare.Target
 	}
-	return s.await(ctx, id, ch, time.Duration(c.Patience)*time.Millisecond)
+	return spare.Caller
 }
 
 // mismatch refuses a call that is not for the target as it is now. The mutex
@@ -320,7 +354,7 @@
 	if resp != nil || ctx.Err() != nil {
 		s.learnHold(c.Route, now.Sub(began))
 	}
-	outcome := s.judge(ctx, began, now, id, resp, err)
+	outcome := s.spare(c, s.judge(ctx, began, now, id, resp, err))
 	if _, whole := outcome.(call.Answered); !whole {
 		s.losses.Inc()
 		s.log.WithFields(logrus.Fields{
@@ -361,6 +395,38 @@
 	return call.Answered{Response: resp, Inner: inner}
 }
 
+// spare counts one more send of a call that failed here and may be repeated.
+func (s *Service) spare(c call.Call, o call.Outcome) call.Outcome {
+	switch o := o.(type) {
+	case call.Answered:
+		if resend.Again(resend.Whole{Status: o.Response.Status, Inner: o.Inner}, c.Idempotent) {
+			o.Spare = s.allow(c)
+		}
+		return o
+	case call.Refused:
+		if o.Arrived {
+			o.Spare = s.allow(c)
+		}
+		return o
+	case call.Lost:
+		if c.Idempotent && o.Reason != failure.Deadline {
+			o.Spare = s.allow(c)
+		}
+		return o
+	}
+	return o
+}
+
+func (s *Service) allow(c call.Call) call.Spare {
+	if c.Last {
+		return false
+	}
+	targets := s.targets(c.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return call.Spare(s.extra.Extra(c.Service, targets, origin(c)))
+}
+
 func (s *Service) done(now time.Time, id uint64, result gate.Result, failed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -393,8 +459,12 @@
 
 // count adds a call to those running, or takes it off.
 func (s *Service) count(c call.Call, sign float64) {
+	targets := s.targets(c.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if sign > 0 && !c.Again {
+		s.extra.First(c.Service, targets, c.Repeat)
+	}
 	s.running += sign
 	s.repeats += sign * c.Repeat
 }
--- a/internal/traffic/relay/place.go
+++ b/internal/traffic/relay/place.go
@@ -9,7 +9,6 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/resend"
-	"chestnutshed.example/chestnutshed/internal/policy/spare"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 )
@@ -26,13 +25,14 @@
 		}
 		pick, refusal := s.choose(now, q)
 		if refusal != nil {
-			return nil, s.unplaced(q, refusal)
+			answer := s.unplaced(q, refusal)
+			return answer.resp, answer.verdict
 		}
 		q.tried = append(q.tried, pick.Candidate.ID)
 		q.outcome = s.dispatch(ctx, now, q, pick)
-		resp, v, again := s.judge(ctx, q)
+		answer, again := s.judge(ctx, q)
 		if !again {
-			return resp, v
+			return answer.resp, answer.verdict
 		}
 	}
 }
@@ -45,14 +45,15 @@
 }
 
 // unplaced is the answer when no further node can be asked.
-func (s *Service) unplaced(q *request, r *failure.Refusal) *verdict {
-	if q.lost {
-		return &verdict{http.StatusBadGateway, failure.Lost, 0}
+func (s *Service) unplaced(q *request, r *failure.Refusal) final {
+	if q.instead != (final{}) {
+		return q.instead
 	}
 	if refused, ok := q.outcome.(call.Refused); ok {
-		return &verdict{http.StatusServiceUnavailable, refused.Reason, s.after(q, refused.Reason, refused.After)}
+		r = failure.New(refused.Reason, "")
+		r.After = refused.After
 	}
-	return &verdict{http.StatusServiceUnavailable, r.Reason, s.after(q, r.Reason, r.After)}
+	return final{verdict: &verdict{http.StatusServiceUnavailable, r.Reason, s.after(q, r.Reason, r.After)}}
 }
 
 // after is when a refused caller may come back: where the service is full, at
@@ -67,60 +68,77 @@
 }
 
 // judge decides whether an outcome is final.
-func (s *Service) judge(ctx context.Context, q *request) (*httpconn.Response, *verdict, bool) {
+func (s *Service) judge(ctx context.Context, q *request) (answer final, again bool) {
 	switch o := q.outcome.(type) {
 	case call.Answered:
 		q.runs++
-		if resend.Again(resend.Whole{Status: o.Response.Status, Inner: o.Inner}, q.route.Idempotent) && s.again(q) {
-			return nil, nil, true
-		}
-		return o.Response, nil, false
+		q.paid = bool(o.Spare)
+		answer = final{resp: o.Response}
+		again = resend.Again(resend.Whole{Status: o.Response.Status, Inner: o.Inner}, q.route.Idempotent) && s.again(q)
 	case call.Refused:
-		if o.Arrived {
-			q.runs++
-			q.turned++
-			if s.again(q) || s.stays(q) {
-				return nil, nil, true
-			}
-			return nil, &verdict{http.StatusServiceUnavailable, o.Reason, s.after(q, o.Reason, o.After)}, false
-		}
-		if len(q.tried) < places && ctx.Err() == nil {
-			return nil, nil, true
-		}
-		return nil, s.unplaced(q, failure.New(o.Reason, "")), false
+		return s.refused(ctx, q, o)
 	case call.Lost:
-		q.runs, q.lost = q.runs+1, true
+		q.runs, q.lost, q.paid = q.runs+1, true, bool(o.Spare)
 		if ctx.Err() != nil || o.Reason == failure.Deadline {
-			return nil, s.expired(q), false
+			return final{verdict: s.expired(q)}, false
 		}
-		if q.route.Idempotent && s.again(q) {
-			return nil, nil, true
+		answer = final{verdict: &verdict{http.StatusBadGateway, failure.Lost, 0}}
+		again = q.route.Idempotent && s.again(q)
+	default:
+		answer = final{verdict: &verdict{http.StatusBadGateway, failure.Broken, 0}}
+	}
+	q.instead = answer
+	return answer, again
+}
+
+// refused decides about a send that did not run.
+func (s *Service) refused(ctx context.Context, q *request, o call.Refused) (answer final, again bool) {
+	switch {
+	case o.Reason == failure.Retries:
+		s.mu.Lock()
+		s.denied[q.call.Service] = clock.Now()
+		s.mu.Unlock()
+	case o.Arrived:
+		q.runs++
+		q.turned++
+		q.paid = bool(o.Spare)
+		if !q.lost && q.runs == q.turned {
+			q.instead = final{verdict: &verdict{http.StatusServiceUnavailable, o.Reason, s.after(q, o.Reason, o.After)}}
 		}
-		return nil, &verdict{http.StatusBadGateway, failure.Lost, 0}, false
+		again = s.again(q) || s.stays(q)
+	default:
+		again = len(q.tried) < places && ctx.Err() == nil
 	}
-	return nil, &verdict{http.StatusBadGateway, failure.Broken, 0}, false
+	return s.unplaced(q, failure.New(o.Reason, "")), again
 }
 
-// again reports whether the request may go to one more target.
+// again reports whether the request may go to one more target. Its node has the
+// last word, unless the node of the target before has counted the send.
 func (s *Service) again(q *request) bool {
-	return q.runs < max(q.route.Attempts, 1) && s.spend(q)
+	if q.runs >= max(q.route.Attempts, 1) {
+		return false
+	}
+	if q.paid || q.org != nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return clock.Now().Sub(s.denied[q.call.Service]) > noRepeatFor
 }
 
 // stays reports whether a caller's request goes to the same target once more,
 // which turned it away without running it: the route bounds the targets that a
 // request is sent to, and a target that refuses at random may take it now.
 func (s *Service) stays(q *request) bool {
-	q.stay = q.org != nil && q.turned == q.runs && q.turned < turns && s.spend(q)
+	q.stay = q.turned == q.runs && q.runs < s.sends(q)
 	return q.stay
 }
 
-// spend takes one extra send from the budget, if there is one.
-func (s *Service) spend(q *request) bool {
-	from := spare.Caller
-	if q.org == nil {
-		from = spare.Target
+// sends is the greatest number of sends of a request.
+func (s *Service) sends(q *request) int {
+	attempts := max(q.route.Attempts, 1)
+	if q.org != nil && q.turned == q.runs {
+		return max(attempts, turns)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.extra.Extra(q.call.Service, from)
+	return attempts
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -21,7 +21,6 @@
 	"chestnutshed.example/chestnutshed/internal/policy/choice"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/rank"
-	"chestnutshed.example/chestnutshed/internal/policy/spare"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/guard"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
@@ -44,6 +43,10 @@
 	// turns is the number of refusals by targets after which a request is
 	// refused: where half of all sends are, nine in ten pass before.
 	turns = 4
+	// noRepeatFor is how long calls of targets are not sent again to a service
+	// after one of its nodes said that second sends are used up: about as long
+	// as it takes to earn one.
+	noRepeatFor = 50 * time.Millisecond
 	// answerGrace is how long past the request's time a peer's final word is
 	// awaited.
 	answerGrace = 80 * time.Millisecond
@@ -70,8 +73,6 @@
 	// KeyAge is the greatest age of the configuration's confirmation at which
 	// keys are honoured.
 	KeyAge time.Duration
-	// Extra bounds second sends.
-	Extra spare.Terms
 	// Service is the service of the target on this VM, which calls made here
 	// come from.
 	Service string
@@ -99,7 +100,7 @@
 	mu      sync.Mutex
 	chooser *choice.Chooser
 	ranker  *rank.Ranker
-	extra   *spare.Budget
+	denied  map[string]time.Time
 	pools   map[string]*httpconn.Pool
 
 	took *metrics.Histogram
@@ -110,14 +111,14 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	s := &Service{
 		Parts: p, zone: zone, chooser: choice.New(zone, random), ranker: rank.New(),
-		extra: spare.New(t.Extra), pools: map[string]*httpconn.Pool{},
+		denied: map[string]time.Time{}, pools: map[string]*httpconn.Pool{},
 		took: p.Set.NewHistogram("request_seconds"),
 	}
 	s.terms.Store(&t)
 	return s
 }
 
-// SetTerms changes the terms; the bound on second sends stays as it was.
+// SetTerms changes the terms.
 func (s *Service) SetTerms(t Terms) { s.terms.Store(&t) }
 
 // Taking is whose requests the relay still takes while its node stops.
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -46,15 +46,10 @@
 	c := q.call.WithTarget(record.Instance, record.Born).WithLeft(q.until.Sub(now))
 	c.Forced = pick.Forced
 	if q.runs > 0 {
-		c.Repeat = 1
+		c = c.WithRepeat(q.paid)
 	}
+	c.Last = q.runs+1 >= s.sends(q)
 	c.Patience = max(0, q.patience.Sub(now)).Milliseconds()
-	if q.runs == 0 {
-		_, known := s.Roster.Running(now)
-		s.mu.Lock()
-		s.extra.First(c.Service, known, c.Repeat)
-		s.mu.Unlock()
-	}
 	if record.ID == s.Roster.Self().ID {
 		outcome := s.Guard.Run(ctx, now, c, q.in)
 		s.answered(record.ID, q, s.Guard.Load(c.Route))
--- a/internal/traffic/relay/request.go
+++ b/internal/traffic/relay/request.go
@@ -35,6 +35,16 @@
 	stay    bool
 	lost    bool
 	outcome call.Outcome
+	// paid is set when the last target's node has counted one more send.
+	paid bool
+	// instead is the answer if no further send is made.
+	instead final
+}
+
+// final is the answer to a caller: a target's, or the relay's own verdict.
+type final struct {
+	resp    *httpconn.Response
+	verdict *verdict
 }
 
 // verdict is the relay's own answer.
