Less processor time a call: cached lists of targets, go-json between nodes, gathered log lines

Profiles of 32 nodes in one process: lists of targets copied three times a call 9 %, collector 14 %, JSON 7 %, lines 4 to 6 % and a write each, picks of peers by copying all of them. The collector runs at 100 % of the live heap in place of 50 %.

--- a/internal/core/logline/logline.go
+++ b/internal/core/logline/logline.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"github.com/sirupsen/logrus"
 )
 
@@ -18,8 +19,13 @@
 	// room is the number of lines that may wait to be written: about two
 	// seconds of a busy node's requests.
 	room = 4096
+	// outSize is what is written at once at most, in bytes.
+	outSize = 32 << 10
 	// reportEvery is the time between reports of lines left out.
 	reportEvery = time.Second
+	// gather is how long lines wait for others before they are written: writing
+	// each by itself costs a busy node as much as making it.
+	gather = 50 * time.Millisecond
 	// timeLayout gives log lines a resolution of a millisecond.
 	timeLayout = "2006-01-02T15:04:05.000Z07:00"
 )
@@ -43,7 +49,7 @@
 func (w *Writer) Logger(level logrus.Level) *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(w)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeLayout, DisableHTMLEscape: true})
+	log.SetFormatter(Formatter{})
 	log.SetLevel(level)
 	return log
 }
@@ -66,7 +72,7 @@
 
 func (w *Writer) run(ctx context.Context) {
 	defer close(w.done)
-	out := bufio.NewWriter(w.out)
+	out := bufio.NewWriterSize(w.out, outSize)
 	report := time.NewTicker(reportEvery)
 	defer report.Stop()
 	var told uint64
@@ -74,6 +80,7 @@
 		select {
 		case line := <-w.lines:
 			_, _ = out.Write(line)
+			kernel.Pause(ctx, gather)
 			w.drain(out)
 		case <-report.C:
 			if n := w.dropped.Load(); n > told {
--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
@@ -21,6 +20,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/policy/bucket"
+	"github.com/goccy/go-json"
 	"github.com/sirupsen/logrus"
 )
 
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -139,7 +139,9 @@
 	order []string
 	// digest joins the hashes of all records of nodes that are not gone.
 	digest uint64
-	began  time.Time
+	// version grows with every change.
+	version uint64
+	began   time.Time
 }
 
 // New returns a table that holds the node's own record.
@@ -248,6 +250,7 @@
 		t.digest ^= e.record.part()
 	}
 	t.digest ^= r.part()
+	t.version++
 	if e.record.Service != r.Service || !ok {
 		t.index(e.record, r)
 	}
@@ -319,6 +322,9 @@
 // Digest is equal for tables that know the same of the nodes that are not gone.
 func (t *Table) Digest() uint64 { return t.digest }
 
+// Version grows with every change of the table.
+func (t *Table) Version() uint64 { return t.version }
+
 // Changed is when this node learned the present record of a node.
 func (t *Table) Changed(id string) time.Time {
 	if e, ok := t.entries[id]; ok {
@@ -335,6 +341,7 @@
 }
 
 func (t *Table) forget(id string) {
+	t.version++
 	r := t.entries[id].record
 	delete(t.entries, id)
 	if t.byAddress[r.Address] == id {
@@ -414,14 +421,26 @@
 // Pick returns up to n different nodes, other than this one, that seem to run.
 // Next returns a number below its argument.
 func (t *Table) Pick(n int, next func(int) int) []Record {
+	return t.PickWhere(n, next, func(*Record) bool { return true })
+}
+
+// PickWhere is Pick among the nodes for which keep returns true.
+func (t *Table) PickWhere(n int, next func(int) int, keep func(*Record) bool) []Record {
+	if len(t.order) == 0 || n <= 0 {
+		return nil
+	}
 	var picked []Record
-	for tries := 0; tries < 4*n+8 && len(picked) < n; tries++ {
-		id := t.order[next(len(t.order))]
-		r := t.entries[id].record
-		if id == t.self || r.Gone() || slices.ContainsFunc(picked, func(o Record) bool { return o.ID == id }) {
+	// From a random place on, in the table's order, which has no meaning.
+	start := next(len(t.order))
+	for i := range t.order {
+		id := t.order[(start+i)%len(t.order)]
+		r := &t.entries[id].record
+		if id == t.self || r.Gone() || !keep(r) {
 			continue
 		}
-		picked = append(picked, r)
+		if picked = append(picked, *r); len(picked) == n {
+			break
+		}
 	}
 	return picked
 }
--- a/internal/fleet/roster/exchange.go
+++ b/internal/fleet/roster/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -11,6 +10,7 @@
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"github.com/goccy/go-json"
 )
 
 // beat exchanges with a peer every tick.
@@ -89,28 +89,15 @@
 func (s *Service) partners(now time.Time, round int) []member.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	self := s.table.Self()
-	var near, far []member.Record
-	var first member.Record
-	for _, r := range s.table.Pick(s.table.Len(), rand.IntN) {
-		if r.Zone != self.Zone {
-			far = append(far, r)
-			continue
-		}
-		near = append(near, r)
-		if !s.silent(now, r.ID) && !r.Leaving && (first.ID == "" || r.ID < first.ID) {
-			first = r
-		}
-	}
+	first, peers := s.firstOfZone(now)
 	var picked []member.Record
-	switch {
-	case round%2 == 0 && first.ID != "" && rand.IntN(max(len(near), firstPeers)) < firstPeers:
+	if round%2 == 0 && first.ID != "" && rand.IntN(max(peers, firstPeers)) < firstPeers {
 		picked = append(picked, first)
-	case len(near) > 0:
-		picked = append(picked, near[0])
+	} else {
+		picked = s.table.PickWhere(1, rand.IntN, s.isNear)
 	}
-	if len(far) > 0 && (round%farEvery == 0 || len(near) == 0) {
-		picked = append(picked, far[0])
+	if round%farEvery == 0 || peers == 0 {
+		picked = append(picked, s.table.PickWhere(1, rand.IntN, func(r *member.Record) bool { return !s.isNear(r) })...)
 	}
 	for _, id := range s.watch.Unanswered() {
 		r, ok := s.table.Get(id)
@@ -121,6 +108,25 @@
 	return picked
 }
 
+// isNear reports whether a member is in this node's zone. The mutex is held.
+func (s *Service) isNear(r *member.Record) bool { return r.Zone == s.table.Self().Zone }
+
+// firstOfZone returns the first of the other running nodes of the zone, and the
+// number of other nodes there. The mutex is held.
+func (s *Service) firstOfZone(now time.Time) (first member.Record, peers int) {
+	self := s.table.Self().ID
+	s.table.Each(func(r *member.Record) {
+		if r.ID == self || r.Gone() || !s.isNear(r) {
+			return
+		}
+		peers++
+		if !r.Leaving && (first.ID == "" || r.ID < first.ID) && !s.silent(now, r.ID) {
+			first = *r
+		}
+	})
+	return first, peers
+}
+
 // exchange is a datagram with the digest of the members and the topics' notes.
 func (s *Service) exchange(now time.Time) packet {
 	p := s.hello(now)
--- a/internal/fleet/roster/join.go
+++ b/internal/fleet/roster/join.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -10,6 +9,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"github.com/goccy/go-json"
 )
 
 // join enlists this node and finds its peers, then keeps the directory free of
--- a/internal/fleet/roster/packet.go
+++ b/internal/fleet/roster/packet.go
@@ -1,9 +1,8 @@
 package roster
 
 import (
-	"encoding/json"
-
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"github.com/goccy/go-json"
 )
 
 const (
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"fmt"
 	mathrand "math/rand/v2"
 	"net"
@@ -27,6 +26,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/liveness"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"github.com/goccy/go-json"
 	"github.com/sirupsen/logrus"
 )
 
@@ -107,6 +107,9 @@
 	mu    sync.Mutex
 	table *member.Table
 	watch *liveness.Watch
+	// serving are lists of Serving, made anew when the table's version changes.
+	serving   map[string][]Serving
+	servingOf uint64
 	// listed is the number of nodes that the directory named last.
 	listed int
 	ticked time.Time
@@ -130,6 +133,7 @@
 	return &Service{
 		node: o.Node, directory: d, news: news, log: log, conn: conn, topics: map[string]Topic{},
 		table: member.New(now, self), watch: liveness.New(now), ticked: now,
+		serving: map[string][]Serving{},
 	}, nil
 }
 
@@ -151,16 +155,42 @@
 	s.spread(now, []member.Record{r}, "")
 }
 
+// Serving is a member that takes calls for a service.
+type Serving struct {
+	member.Record
+	// Since is when this node first heard of the member's present target.
+	Since time.Time
+}
+
 // Serving returns the running members that take calls for a service; those
-// that fell silent only when there is no other.
-func (s *Service) Serving(now time.Time, service string) []member.Record {
+// that fell silent only when there is no other. The list is shared and must not
+// be changed; it stays the same one until a member changes.
+func (s *Service) Serving(now time.Time, service string) []Serving {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := s.table.Serving(service)
-	heard := make([]member.Record, 0, len(all))
-	for _, r := range all {
+	if s.watch.Alone(now) {
+		return s.listServing(now, service)
+	}
+	if v := s.table.Version(); v != s.servingOf {
+		clear(s.serving)
+		s.servingOf = v
+	}
+	list, ok := s.serving[service]
+	if !ok {
+		list = s.listServing(now, service)
+		s.serving[service] = list
+	}
+	return list
+}
+
+// listServing makes a list for Serving. The mutex is held.
+func (s *Service) listServing(now time.Time, service string) []Serving {
+	var all, heard []Serving
+	for _, r := range s.table.Serving(service) {
+		one := Serving{r, s.table.Ready(r.ID)}
+		all = append(all, one)
 		if !s.silent(now, r.ID) {
-			heard = append(heard, r)
+			heard = append(heard, one)
 		}
 	}
 	if len(heard) == 0 {
@@ -169,13 +199,6 @@
 	return heard
 }
 
-// Ready is when this node first heard of the present target of a member.
-func (s *Service) Ready(id string) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table.Ready(id)
-}
-
 // Get returns a member's record.
 func (s *Service) Get(id string) (member.Record, bool) {
 	s.mu.Lock()
@@ -295,24 +318,22 @@
 	}
 }
 
+// targets are the peers that a change is sent to.
 func (s *Service) targets(now time.Time, except string) []member.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	self := s.table.Self()
 	perZone := map[string]int{}
-	var picked []member.Record
-	for _, r := range s.table.Pick(s.table.Len(), mathrand.IntN) {
+	return s.table.PickWhere(s.table.Len(), mathrand.IntN, func(r *member.Record) bool {
 		room := 1
-		if r.Zone == self.Zone {
+		if s.isNear(r) {
 			room = fanout
 		}
-		if r.ID == except || s.silent(now, r.ID) || perZone[r.Zone] >= room {
-			continue
+		if r.ID == except || perZone[r.Zone] >= room || s.silent(now, r.ID) {
+			return false
 		}
 		perZone[r.Zone]++
-		picked = append(picked, r)
-	}
-	return picked
+		return true
+	})
 }
 
 // Name implements kernel.Service.
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -50,8 +50,9 @@
 	// harder.
 	memoryPart = 0.6
 	// collectAt is the garbage in percent of the live heap at which the collector
-	// runs: memory costs users more here than processor time.
-	collectAt = 50
+	// runs. A node's heap is a few megabytes: at 50 an eighth of its processor
+	// time went to collecting.
+	collectAt = 100
 	// httpTimeout bounds the side listeners' requests.
 	httpTimeout = 3 * time.Second
 )
--- a/internal/policy/choice/choice.go
+++ b/internal/policy/choice/choice.go
@@ -109,6 +109,8 @@
 	uses  map[string]map[string]time.Time
 	// holds are the times of service that candidates reported, by route.
 	holds map[string]map[string]hold
+	// usable and admitting hold the candidates of one choice.
+	usable, admitting []Candidate
 }
 
 // hold is a mean time of service in seconds.
@@ -155,15 +157,17 @@
 		return Pick{}, failure.New(failure.NoTarget, "no other target of the service")
 	}
 	forced := false
-	usable := c.filter(untried, func(k Candidate, o *observed) bool {
+	c.usable = c.filter(c.usable, untried, func(k Candidate, o *observed) bool {
 		return !k.Failing && !now.Before(o.outUntil)
 	})
+	usable := c.usable
 	if len(usable) == 0 {
 		usable, forced = untried, true
 	}
-	admitting := c.filter(usable, func(_ Candidate, o *observed) bool {
+	c.admitting = c.filter(c.admitting, usable, func(_ Candidate, o *observed) bool {
 		return o.cut.now(now).Admits(call.Score, call.Depth)
 	})
+	admitting := c.admitting
 	if !c.belowCut(now, call.Route).Admits(call.Score, call.Depth) {
 		return Pick{}, failure.New(failure.Overload, "a service further down is overloaded")
 	}
@@ -193,8 +197,9 @@
 	return rest
 }
 
-func (c *Chooser) filter(all []Candidate, keep func(Candidate, *observed) bool) []Candidate {
-	kept := make([]Candidate, 0, len(all))
+// filter puts the candidates to keep into the space of an earlier list.
+func (c *Chooser) filter(space, all []Candidate, keep func(Candidate, *observed) bool) []Candidate {
+	kept := space[:0]
 	for _, k := range all {
 		if keep(k, c.of(k.ID)) {
 			kept = append(kept, k)
@@ -239,9 +244,9 @@
 // quickest returns the candidate with the least expected time for a call. It
 // returns false while no candidate's time of service is known.
 func (c *Chooser) quickest(now time.Time, all []Candidate, call Call) (Candidate, bool) {
-	best := 0.0
+	best, holds := 0.0, c.holds[call.Route]
 	for _, k := range all {
-		if h, ok := c.holds[call.Route][k.ID]; ok && now.Sub(h.at) < holdLife && (best == 0 || h.mean < best) {
+		if h, ok := holds[k.ID]; ok && now.Sub(h.at) < holdLife && (best == 0 || h.mean < best) {
 			best = h.mean
 		}
 	}
@@ -254,7 +259,7 @@
 	for i := range min(len(all), sampled) {
 		k := all[(start+i)%len(all)]
 		cost := best
-		if h, ok := c.holds[call.Route][k.ID]; ok && now.Sub(h.at) < holdLife {
+		if h, ok := holds[k.ID]; ok && now.Sub(h.at) < holdLife {
 			cost = h.mean
 		}
 		cost *= stretch(c.loadOf(now, k))
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -3,7 +3,6 @@
 package call
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -11,6 +10,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
+	"github.com/goccy/go-json"
 )
 
 // Headers between nodes; their values are JSON.
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -101,6 +101,8 @@
 	chooser *choice.Chooser
 	ranker  *rank.Ranker
 	denied  map[string]time.Time
+	// scratch holds the candidates of one choice.
+	scratch []choice.Candidate
 	pools   map[string]*httpconn.Pool
 
 	took *metrics.Histogram
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/fleet/roster"
 	"chestnutshed.example/chestnutshed/internal/policy/choice"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
@@ -15,23 +17,16 @@
 
 // choose picks the node to ask.
 func (s *Service) choose(now time.Time, q *request) (choice.Pick, *failure.Refusal) {
-	records := s.Roster.Serving(now, q.call.Service)
-	all := make([]choice.Candidate, 0, len(records))
 	tried := q.tried
+	all := s.Roster.Serving(now, q.call.Service)
 	if q.stay {
+		last := q.tried[len(q.tried)-1]
+		all = slices.DeleteFunc(slices.Clone(all), func(r roster.Serving) bool { return r.ID != last })
 		tried = nil
 	}
-	for _, r := range records {
-		if q.stay && r.ID != q.tried[len(q.tried)-1] {
-			continue
-		}
-		all = append(all, choice.Candidate{
-			ID: r.ID, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Since: s.Roster.Ready(r.ID), Failing: r.Failing,
-		})
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	pick, refusal := s.chooser.Choose(now, all, choice.Call{
+	pick, refusal := s.chooser.Choose(now, s.candidates(all), choice.Call{
 		Route: q.route.Name, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Tried: tried,
 	})
 	if refusal == nil {
@@ -40,6 +35,18 @@
 	return pick, refusal
 }
 
+// candidates are the members of a list as candidates. The mutex is held.
+func (s *Service) candidates(list []roster.Serving) []choice.Candidate {
+	s.scratch = s.scratch[:0]
+	for i := range list {
+		r := &list[i]
+		s.scratch = append(s.scratch, choice.Candidate{
+			ID: r.ID, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Since: r.Since, Failing: r.Failing,
+		})
+	}
+	return s.scratch
+}
+
 // dispatch sends the call to one node, this one included.
 func (s *Service) dispatch(ctx context.Context, now time.Time, q *request, pick choice.Pick) call.Outcome {
 	record, _ := s.Roster.Get(pick.Candidate.ID)
