An organisation's requests of the highest rank find tokens under a flood of its others

Lookups now leave a fifth of the burst; the rate is used all the same. TestRanksOfOneOrganisation: red without.

--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -58,6 +58,10 @@
 	// overage is the tolerated part over rate and burst, as the platform's
 	// bounds state it; what they allow beside it stays a margin.
 	overage = 1.1
+	// keepPart is the part of a burst that requests of less than the highest rank
+	// leave to the others: callers that repeat failed lookups use up the rate
+	// first. Above it they may use all of the rate.
+	keepPart = 0.2
 	// comeBack is when a caller over the rate is asked to return.
 	comeBack = 700 * time.Millisecond
 )
@@ -81,15 +85,22 @@
 	return c.Epoch > o.Epoch || (c.Epoch == o.Epoch && c.Holder < o.Holder)
 }
 
-// draw asks for tokens of one organisation.
-type draw struct {
+// claimant is whom tokens are for: requests of an organisation that are of the
+// highest rank, or those below it.
+type claimant struct {
 	Organisation string `json:"org"`
+	Low          bool   `json:"low,omitempty"`
+}
+
+// draw asks for tokens of one claimant.
+type draw struct {
+	claimant
 	bucket.Ask
 }
 
 // granted answers a draw.
 type granted struct {
-	Organisation string `json:"org"`
+	claimant
 	bucket.Grant
 }
 
@@ -102,14 +113,18 @@
 	Grants []granted `json:"grants,omitempty"`
 }
 
-// purse is what this node has drawn for one organisation.
+// purse is what this node has drawn for one claimant.
 type purse struct {
 	*bucket.Purse
-	waiting  int
-	filled   chan struct{}
-	dryAt    time.Time
-	standing float64
-	at       time.Time
+	waiting int
+	filled  chan struct{}
+	dryAt   time.Time
+}
+
+// share is what this node may spend of an organisation's rate without a holder.
+type share struct {
+	tokens float64
+	at     time.Time
 }
 
 // Service takes tokens for requests.
@@ -123,7 +138,8 @@
 	began   time.Time
 	claim   claim
 	parts   map[string]*bucket.Part
-	purses  map[string]*purse
+	purses  map[claimant]*purse
+	shares  map[string]share
 	asked   time.Time
 	drawing bool
 	// minority is set while this node hears too few of the others to hold.
@@ -136,7 +152,7 @@
 func New(now func() time.Time, fleet Fleet, config *follow.Service, log *logrus.Entry) *Service {
 	return &Service{
 		fleet: fleet, config: config, log: log, now: now, began: now(),
-		parts: map[string]*bucket.Part{}, purses: map[string]*purse{},
+		parts: map[string]*bucket.Part{}, purses: map[claimant]*purse{}, shares: map[string]share{},
 	}
 }
 
@@ -157,14 +173,14 @@
 // ComeBack is when a caller over the rate may return.
 func ComeBack() time.Duration { return comeBack }
 
-// Take spends one token of an organisation, waiting a short time for the
-// holder's answer.
-func (s *Service) Take(ctx context.Context, now time.Time, org *rules.Organisation) Result {
+// Take spends one token of an organisation for a request on a route of some
+// rank, 0 the highest, waiting a short time for the holder's answer.
+func (s *Service) Take(ctx context.Context, now time.Time, org *rules.Organisation, rank int) Result {
 	if org.Rate <= 0 {
 		return Taken
 	}
 	s.mu.Lock()
-	p := s.purseOf(org.Name)
+	p := s.purseOf(claimant{org.Name, rank > 0})
 	p.Count(now)
 	if p.Spend(now) {
 		if p.Want(now, 0) > 0 {
@@ -179,7 +195,7 @@
 	}
 	if s.holderMissing(now) {
 		defer s.mu.Unlock()
-		if s.standing(now, org, p) {
+		if s.standing(now, org) {
 			return Standing
 		}
 		return Exceeded
@@ -217,7 +233,7 @@
 		return Taken, p.filled
 	case !p.dryAt.Before(began):
 		return Exceeded, p.filled
-	case s.holderMissing(now) && s.standing(now, org, p):
+	case s.holderMissing(now) && s.standing(now, org):
 		return Standing, p.filled
 	}
 	return Exceeded, p.filled
@@ -240,41 +256,43 @@
 
 // standing spends from this node's share that needs no holder. The mutex is
 // held.
-func (s *Service) standing(now time.Time, org *rules.Organisation, p *purse) bool {
+func (s *Service) standing(now time.Time, org *rules.Organisation) bool {
 	_, known := s.fleet.Running(now)
 	part := standingPart
 	if s.claim.Epoch == 0 {
 		part = freshPart
 	}
 	rate := org.Rate * part / float64(max(known, 2))
-	if p.at.IsZero() {
-		p.standing = 1
+	own, ok := s.shares[org.Name]
+	if !ok {
+		own.tokens = 1
 	} else {
-		p.standing = min(standingBurst, p.standing+rate*now.Sub(p.at).Seconds())
+		own.tokens = min(standingBurst, own.tokens+rate*now.Sub(own.at).Seconds())
 	}
-	p.at = now
-	if p.standing < 1 {
-		return false
+	own.at = now
+	spends := own.tokens >= 1
+	if spends {
+		own.tokens--
 	}
-	p.standing--
-	return true
+	s.shares[org.Name] = own
+	return spends
 }
 
 // Refund gives back the token of a request that did not run.
-func (s *Service) Refund(now time.Time, org *rules.Organisation) {
+func (s *Service) Refund(now time.Time, org *rules.Organisation, rank int) {
 	if org == nil || org.Rate <= 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.purseOf(org.Name).Refund(now)
+	s.purseOf(claimant{org.Name, rank > 0}).Refund(now)
 }
 
-func (s *Service) purseOf(name string) *purse {
-	p, ok := s.purses[name]
+func (s *Service) purseOf(whose claimant) *purse {
+	p, ok := s.purses[whose]
 	if !ok {
 		p = &purse{Purse: bucket.NewPurse(), filled: make(chan struct{})}
-		s.purses[name] = p
+		s.purses[whose] = p
 	}
 	return p
 }
@@ -302,11 +320,14 @@
 	holder := s.claim
 	m := message{Epoch: holder.Epoch, Asked: now.UnixNano()}
 	again := false
-	for name, p := range s.purses {
+	for whose, p := range s.purses {
 		if want := p.Want(now, p.waiting); want > 0 {
 			ask := p.Ask(self, bucket.Source{Epoch: holder.Epoch}, want)
 			ask.Now = p.waiting
-			m.Draws = append(m.Draws, draw{name, ask})
+			if whose.Low {
+				ask.Keep = keepPart
+			}
+			m.Draws = append(m.Draws, draw{whose, ask})
 			again = again || p.waiting > 0
 		}
 	}
@@ -345,7 +366,7 @@
 		}
 		ask := d.Ask
 		ask.Drawer = drawer
-		answer.Grants = append(answer.Grants, granted{org.Name, s.partOf(now, org).Draw(now, ask)})
+		answer.Grants = append(answer.Grants, granted{d.claimant, s.partOf(now, org).Draw(now, ask)})
 	}
 	return answer
 }
@@ -366,7 +387,7 @@
 	asked := time.Unix(0, m.Asked)
 	s.unanswered = time.Time{}
 	for _, g := range m.Grants {
-		p, ok := s.purses[g.Organisation]
+		p, ok := s.purses[g.claimant]
 		if !ok {
 			continue
 		}
--- a/internal/fleet/allowance/allowance_test.go
+++ b/internal/fleet/allowance/allowance_test.go
@@ -148,6 +148,11 @@
 // spend lets every node ask at a rate for a time and returns the tokens taken
 // and refused.
 func (w *network) spend(perNode float64, d time.Duration) (taken, refused int) {
+	return w.spendRank(0, perNode, d)
+}
+
+// spendRank is spend for requests on routes of some rank.
+func (w *network) spendRank(rank int, perNode float64, d time.Duration) (taken, refused int) {
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	end := time.Now().Add(d)
@@ -163,7 +168,7 @@
 				group.Add(1)
 				go func() {
 					defer group.Done()
-					got := n.rates.Take(context.Background(), time.Now(), &org)
+					got := n.rates.Take(context.Background(), time.Now(), &org, rank)
 					mu.Lock()
 					defer mu.Unlock()
 					if got == allowance.Exceeded {
@@ -242,11 +247,30 @@
 	})
 }
 
+// Callers that repeat lookups use up the rate of their organisation; its requests
+// of the highest rank still pass, and the bound holds for both together.
+func TestRanksOfOneOrganisation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork(t, 12)
+		time.Sleep(settle)
+		window := 3 * time.Second
+		var group sync.WaitGroup
+		lookups := 0
+		group.Go(func() { lookups, _ = w.spendRank(2, org.Rate*8/12, window) })
+		orders, refused := w.spendRank(0, org.Rate*0.3/12, window)
+		group.Wait()
+		is.Equal(refused, 0)
+		is.True(lookups+orders <= allowed(window))
+		is.True(float64(lookups+orders) >= org.Rate*window.Seconds()*0.95)
+	})
+}
+
 func TestNoLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newNetwork(t, 1)
-		is.Equal(w.nodes["n00"].rates.Take(context.Background(), time.Now(), &rules.Organisation{Name: "free"}), allowance.Taken)
+		is.Equal(w.nodes["n00"].rates.Take(context.Background(), time.Now(), &rules.Organisation{Name: "free"}, 0), allowance.Taken)
 	})
 }
 
--- a/internal/policy/bucket/bucket.go
+++ b/internal/policy/bucket/bucket.go
@@ -212,6 +212,8 @@
 	// Now is how many of them are spent as soon as they are there, by requests
 	// that wait: they are never outstanding.
 	Now int `json:"now,omitempty"`
+	// Keep is the part of the burst that stays for more important requests.
+	Keep float64 `json:"keep,omitempty"`
 	// Spent is how many tokens of earlier grants were used. Each is reported
 	// once: a report whose answer is lost is not sent again. Tokens that ran out
 	// are not given back: the part may have filled up since.
@@ -238,7 +240,8 @@
 	p.refill(now)
 	p.settle(ask.Spent)
 	room := max(1, p.terms.Burst*p.claim.factor()*outShare) - p.ownOutstanding()
-	n := min(ask.Want, int(math.Floor(min(p.level, room+float64(ask.Now))+1e-9)))
+	level := p.level - ask.Keep*p.terms.Burst*p.claim.factor()
+	n := min(ask.Want, int(math.Floor(min(level, room+float64(ask.Now))+1e-9)))
 	if n <= 0 {
 		return Grant{}
 	}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -176,7 +176,7 @@
 		q.until = q.began.Add(q.wish.Left)
 	}
 	if q.org != nil {
-		got := s.Allowance.Take(ctx, clock.Now(), q.org)
+		got := s.Allowance.Take(ctx, clock.Now(), q.org, q.route.Rank)
 		q.quota = got.String()
 		if got == allowance.Exceeded {
 			return nil, &verdict{http.StatusTooManyRequests, failure.RateExceeded, allowance.ComeBack()}
@@ -185,7 +185,7 @@
 	s.describe(q)
 	resp, v := s.place(ctx, q)
 	if v != nil && q.runs == 0 && q.quota == allowance.Taken.String() {
-		s.Allowance.Refund(clock.Now(), q.org)
+		s.Allowance.Refund(clock.Now(), q.org, q.route.Rank)
 	}
 	return resp, v
 }
