Calls stay in their zone where many targets are elsewhere

Up to six of the own zone and two others are compared now. TestFewNearbyAmongMany: 528 of 1,000 stayed before, all now.

--- a/internal/policy/choice/choice.go
+++ b/internal/policy/choice/choice.go
@@ -238,8 +238,14 @@
 	return all
 }
 
-// sampled is the number of candidates compared by their time of service.
-const sampled = 6
+// sampledNear and sampledFar are the numbers of candidates of the own zone and
+// of others that are compared by their time of service. With few of many, nodes
+// that hear the same of all don't flock to one; with some of the own zone in
+// every sample, no call leaves it for want of one.
+const (
+	sampledNear = 6
+	sampledFar  = 2
+)
 
 // quickest returns the candidate with the least expected time for a call. It
 // returns false while no candidate's time of service is known.
@@ -256,8 +262,17 @@
 	var pick Candidate
 	least := 0.0
 	start := c.random.IntN(len(all))
-	for i := range min(len(all), sampled) {
+	near, far := 0, 0
+	for i := range all {
 		k := all[(start+i)%len(all)]
+		if k.Zone == c.zone {
+			near++
+		} else {
+			far++
+		}
+		if (k.Zone == c.zone && near > sampledNear) || (k.Zone != c.zone && far > sampledFar) {
+			continue
+		}
 		cost := best
 		if h, ok := holds[k.ID]; ok && now.Sub(h.at) < holdLife {
 			cost = h.mean
--- a/internal/policy/choice/choice_test.go
+++ b/internal/policy/choice/choice_test.go
@@ -1,6 +1,7 @@
 package choice_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -127,3 +128,22 @@
 	}
 	is.Equal(share(c, start, all)["near"], 1000)
 }
+
+// A service with many targets elsewhere: calls stay in the own zone as long as
+// its few targets are as good.
+func TestFewNearbyAmongMany(t *testing.T) {
+	is := is.New(t)
+	c := chooser()
+	var all []choice.Candidate
+	for i := range 15 {
+		zone := "there"
+		if i < 3 {
+			zone = "here"
+		}
+		k := choice.Candidate{ID: fmt.Sprintf("%s-%d", zone, i), Zone: zone, Slots: 100}
+		all = append(all, k)
+		c.Answered(start, k.ID, choice.Report{Route: "r", Load: 0.3, Cut: priority.Open, Hold: 0.1})
+	}
+	counts := share(c, start, all)
+	is.Equal(counts["here-0"]+counts["here-1"]+counts["here-2"], 1000)
+}
