The age of running calls tells a slow target at once

The mean of ended calls follows in 2 to 4 s. The expected time is now at least 1.2 times the mean age of running calls. TestTurnsSlow: the estimate a second later is over twice the steady one.

--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -17,6 +17,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/policy/choice"
 	"chestnutshed.example/chestnutshed/internal/policy/gate"
+	"chestnutshed.example/chestnutshed/internal/policy/hold"
 	"chestnutshed.example/chestnutshed/internal/policy/intake"
 	"chestnutshed.example/chestnutshed/internal/policy/level"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
@@ -70,7 +71,7 @@
 	// running is the number of calls at the target, and repeats the sum of
 	// their parts that are repeats.
 	running, repeats float64
-	holds            map[string]float64
+	times            *hold.Times
 	downTil          time.Time
 	closed           bool
 	lastID           atomic.Uint64
@@ -101,7 +102,7 @@
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
 		dialect: d, log: log, heard: o.Heard, extra: spare.New(o.Extra), targets: o.Targets,
-		intake: intake.New(gate.Sidecar()), waiting: map[uint64]chan step{}, holds: map[string]float64{},
+		intake: intake.New(gate.Sidecar()), waiting: map[uint64]chan step{}, times: hold.New(clock.Now()),
 		runs:     set.NewCounter("target_calls_total"),
 		refusals: set.NewCounter("target_refusals_total"),
 		losses:   set.NewCounter("target_losses_total"),
@@ -136,7 +137,7 @@
 		if !next.Is(before.Last.ID, before.Last.Born) {
 			s.intake.NewTarget()
 			s.downTil = time.Time{}
-			clear(s.holds)
+			s.times.Reset()
 		}
 		s.signal(s.intake.SetSlots(now, s.slots()))
 	}
@@ -187,7 +188,7 @@
 func (s *Service) Load(route string) call.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return call.Load{Load: s.intake.Load(), Cut: s.intake.Cut(), Hold: s.holds[route]}
+	return call.Load{Load: s.intake.Load(), Cut: s.intake.Cut(), Hold: s.times.Estimate(clock.Now(), route)}
 }
 
 // innerFailedSince reports whether a call of the target failed since a time.
@@ -197,21 +198,6 @@
 	return !s.innerFailed.Before(began)
 }
 
-// holdWeight is the weight of the newest sample in a mean time of service: the
-// mean of about twenty calls, since times vary by as much as their mean.
-const holdWeight = 0.05
-
-// learnHold adds how long a call held its slot.
-func (s *Service) learnHold(route string, held time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	mean, ok := s.holds[route]
-	if !ok {
-		mean = held.Seconds()
-	}
-	s.holds[route] = mean + (held.Seconds()-mean)*holdWeight
-}
-
 func none(intake.Child) []choice.Below { return nil }
 
 // Run admits one call and runs it on the target. The context ends when the
@@ -347,14 +333,11 @@
 		reuse.Rested = freshFor
 	}
 	s.runs.Inc()
-	s.count(c, 1)
+	s.started(began, c)
 	resp, err := s.pool.Do(ctx, &out, reuse)
-	s.count(c, -1)
 	now := clock.Now()
+	s.ended(began, now, c, resp != nil || ctx.Err() != nil)
 	s.took.Update(now.Sub(began).Seconds())
-	if resp != nil || ctx.Err() != nil {
-		s.learnHold(c.Route, now.Sub(began))
-	}
 	outcome := s.spare(c, s.judge(ctx, began, now, id, resp, err))
 	if _, whole := outcome.(call.Answered); !whole {
 		s.losses.Inc()
@@ -458,16 +441,27 @@
 	return s.repeats / s.running
 }
 
-// count adds a call to those running, or takes it off.
-func (s *Service) count(c call.Call, sign float64) {
+// started adds a call to those running.
+func (s *Service) started(now time.Time, c call.Call) {
 	targets := s.targets(c.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if sign > 0 && !c.Again {
+	if !c.Again {
 		s.extra.First(c.Service, targets, c.Repeat)
 	}
-	s.running += sign
-	s.repeats += sign * c.Repeat
+	s.running++
+	s.repeats += c.Repeat
+	s.times.Start(now, c.Route)
+}
+
+// ended takes a call off those running. Counts is false for one that says
+// nothing about the target's speed.
+func (s *Service) ended(began, now time.Time, c call.Call, counts bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.repeats -= c.Repeat
+	s.times.End(began, now, c.Route, counts)
 }
 
 // Failing reports whether the target fails most requests.
