--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -104,7 +104,7 @@
 	n.roster.Share(allowance.Name, n.rates)
 	n.guard = guard.New(guard.Options{
 		Address: s.Target, Extra: spare.Terms{Ratio: s.Extra.Ratio, Slack: s.Extra.Slack}, Heard: n.announced,
-		Targets: func(service string) int { return len(n.roster.Serving(clock.Recent(), service)) },
+		Targets: func(service string) int { return len(n.roster.Serving(clock.Now(), service)) },
 	}, seams.Dialect, n.set, n.named(guard.Name))
 	n.relay = relay.New(s.Zone, n.terms(s), relay.Parts{
 		Dialect: seams.Dialect, Config: n.config, Roster: n.roster, Allowance: n.rates,
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -102,7 +102,7 @@
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
 		dialect: d, log: log, heard: o.Heard, extra: spare.New(o.Extra), targets: o.Targets,
-		intake: intake.New(gate.Sidecar()), waiting: map[uint64]chan step{}, times: hold.New(clock.Recent()),
+		intake: intake.New(gate.Sidecar()), waiting: map[uint64]chan step{}, times: hold.New(clock.Now()),
 		runs:     set.NewCounter("target_calls_total"),
 		refusals: set.NewCounter("target_refusals_total"),
 		losses:   set.NewCounter("target_losses_total"),
@@ -188,7 +188,7 @@
 func (s *Service) Load(route string) call.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return call.Load{Load: s.intake.Load(), Cut: s.intake.Cut(), Hold: s.times.Estimate(clock.Recent(), route)}
+	return call.Load{Load: s.intake.Load(), Cut: s.intake.Cut(), Hold: s.times.Estimate(clock.Now(), route)}
 }
 
 // innerFailedSince reports whether a call of the target failed since a time.
@@ -210,7 +210,7 @@
 		s.refusals.Inc()
 		s.log.WithFields(logrus.Fields{
 			"request": c.ID, "route": c.Route, "reason": refused.Reason,
-			"score": float64(c.Score), "waited_ms": clock.Recent().Sub(now).Milliseconds(), "after_ms": refused.After.Milliseconds(),
+			"score": float64(c.Score), "waited_ms": clock.Now().Sub(now).Milliseconds(), "after_ms": refused.After.Milliseconds(),
 		}).Info("call refused by its serving node")
 		return *refused
 	}
@@ -313,7 +313,7 @@
 
 // send runs an admitted call on the target and gives its slot back.
 func (s *Service) send(ctx context.Context, id uint64, c call.Call, r *httpconn.Request, until time.Time) call.Outcome {
-	began := clock.Recent()
+	began := clock.Now()
 	if ctx.Err() != nil {
 		s.done(began, id, gate.Aborted, false)
 		return call.Refused{Reason: failure.Deadline}
@@ -335,7 +335,7 @@
 	s.runs.Inc()
 	s.started(began, c)
 	resp, err := s.pool.Do(ctx, &out, reuse)
-	now := clock.Recent()
+	now := clock.Now()
 	s.ended(began, now, c, resp != nil || ctx.Err() != nil)
 	s.took.Update(now.Sub(began).Seconds())
 	outcome := s.spare(c, s.judge(ctx, began, now, id, resp, err))
--- a/internal/traffic/relay/place.go
+++ b/internal/traffic/relay/place.go
@@ -15,10 +15,10 @@
 
 // place sends the call to targets' nodes until one gives a final outcome.
 func (s *Service) place(ctx context.Context, q *request) (*httpconn.Response, *verdict) {
-	ctx, cancel := context.WithTimeout(ctx, q.until.Sub(clock.Recent())+answerGrace)
+	ctx, cancel := context.WithTimeout(ctx, q.until.Sub(clock.Now())+answerGrace)
 	defer cancel()
 	for {
-		now := clock.Recent()
+		now := clock.Now()
 		left := q.until.Sub(now)
 		if left <= 0 {
 			return nil, s.expired(q)
@@ -96,7 +96,7 @@
 	switch {
 	case o.Reason == failure.Retries:
 		s.mu.Lock()
-		s.denied[q.call.Service] = clock.Recent()
+		s.denied[q.call.Service] = clock.Now()
 		s.mu.Unlock()
 	case o.Arrived:
 		q.runs++
@@ -123,7 +123,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return clock.Recent().Sub(s.denied[q.call.Service]) > noRepeatFor
+	return clock.Now().Sub(s.denied[q.call.Service]) > noRepeatFor
 }
 
 // stays reports whether a caller's request goes to the same target once more,
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -151,7 +151,7 @@
 func (s *Service) Handle(ctx context.Context, in *httpconn.Request) *httpconn.Response {
 	q := &request{wish: s.Dialect.Wish(in.Header), in: in, began: in.Received}
 	resp, v := s.decide(ctx, q)
-	now := clock.Recent()
+	now := clock.Now()
 	if ctx.Err() != nil {
 		v = &verdict{reason: "caller-left"}
 	}
@@ -176,7 +176,7 @@
 		q.until = q.began.Add(q.wish.Left)
 	}
 	if q.org != nil {
-		got := s.Allowance.Take(ctx, clock.Recent(), q.org, q.route.Rank)
+		got := s.Allowance.Take(ctx, clock.Now(), q.org, q.route.Rank)
 		q.quota = got.String()
 		if got == allowance.Exceeded {
 			return nil, &verdict{http.StatusTooManyRequests, failure.RateExceeded, allowance.ComeBack()}
@@ -185,7 +185,7 @@
 	s.describe(q)
 	resp, v := s.place(ctx, q)
 	if v != nil && q.runs == 0 && q.quota == allowance.Taken.String() {
-		s.Allowance.Refund(clock.Recent(), q.org, q.route.Rank)
+		s.Allowance.Refund(clock.Now(), q.org, q.route.Rank)
 	}
 	return resp, v
 }
@@ -234,7 +234,7 @@
 		Service: q.route.Pick(rules.Spread(q.config.Rules.Start(), s.serial.Add(1))),
 	}
 	wait := q.route.Objective / waitPart
-	now := clock.Recent()
+	now := clock.Now()
 	if q.org == nil {
 		c.Depth, wait = 2, q.route.Objective/innerWaitPart
 		c.Score = priority.New(manifest.Critical, 0)
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -89,7 +89,7 @@
 		return call.Lost{Reason: failure.Deadline, Err: err}
 	}
 	s.mu.Lock()
-	s.chooser.Failed(clock.Recent(), id)
+	s.chooser.Failed(clock.Now(), id)
 	s.mu.Unlock()
 	s.Log.WithError(err).WithFields(logrus.Fields{"request": c.ID, "peer": address, "member": id}).Warn("peer did not answer")
 	if errors.Is(err, httpconn.ErrNotSent) {
@@ -101,7 +101,7 @@
 func (s *Service) answered(id string, q *request, load call.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.chooser.Answered(clock.Recent(), id, choice.Report{Route: q.route.Name, Load: load.Load, Cut: load.Cut, Hold: load.Hold})
+	s.chooser.Answered(clock.Now(), id, choice.Report{Route: q.route.Name, Load: load.Load, Cut: load.Cut, Hold: load.Hold})
 }
 
 func (s *Service) withdrawn(id string) {
--- a/internal/traffic/relay/request.go
+++ b/internal/traffic/relay/request.go
@@ -73,7 +73,7 @@
 	if q.org != nil {
 		fields["organisation"], fields["quota"] = q.org.Name, q.quota
 	}
-	if q.outcome != nil && (v != nil || resp.Status != http.StatusOK) {
+	if q.outcome != nil {
 		fields["last"] = call.Describe(q.outcome)
 	}
 	switch {
