A request sent on a forgotten connection never counts as not sent

Found by reading: where the second try found no connection, the dial's error said that nothing was sent, and the caller could be told 'not run'. TestForgottenAndGone: red without.

--- a/internal/traffic/httpconn/httpconn_test.go
+++ b/internal/traffic/httpconn/httpconn_test.go
@@ -317,6 +317,30 @@
 	}
 }
 
+// A request that went out on a forgotten connection doesn't count as not sent,
+// also when there is no fresh connection for its second try.
+func TestForgottenAndGone(t *testing.T) {
+	const rest = 120 * time.Millisecond
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_ = l.Close()
+		forget(c, rest)
+	}()
+	p := pool(l.Addr().String())
+	_, err = p.Do(context.Background(), get("1"), httpconn.Reuse{})
+	is.NoErr(err)
+	time.Sleep(rest * 3 / 2)
+	_, err = p.Do(context.Background(), get("1"), httpconn.Reuse{Again: true})
+	is.True(err != nil)
+	is.True(!errors.Is(err, httpconn.ErrNotSent))
+}
+
 // forget answers requests, and resets those that come after a rest.
 func forget(c net.Conn, rest time.Duration) {
 	in, last := bufio.NewReader(c), time.Now()
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -120,10 +120,12 @@
 	if !reuse.Again {
 		return resp, err
 	}
-	if c, err = p.dial(ctx); err != nil {
-		return nil, err
+	fresh, dialErr := p.dial(ctx)
+	if dialErr != nil {
+		// The request was sent once: the dial's error would say that it wasn't.
+		return nil, fmt.Errorf("on a forgotten connection: %w (%s)", err, dialErr.Error())
 	}
-	return p.exchange(ctx, c, r)
+	return p.exchange(ctx, fresh, r)
 }
 
 // exchange uses a connection for one request.
