A node that starts alone spends a part of what the holder leaves

From the logs: 127 tokens were the holder's, 15 those of three nodes that had started anew and heard of the holder 0.02 to 1.25 s later; each spent an equal part of the whole rate, as if the fleet were new. Only a node that hears peers and no holder does so now. Ruled out: second sends (142 requests, 142 sends), two holders (one epoch in the window). TestFreshNodeAlone: red without.

--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -48,9 +48,9 @@
 	// together may spend without a holder. With a third of the nodes cut off
 	// it is an eighth of the rate, about the tolerated overage.
 	standingPart = 0.4
-	// freshPart is the same at a node that has heard of no holder since it
-	// started: its configuration came from the store or a peer, so that it is
-	// not cut off, and the whole fleet has started anew.
+	// freshPart is the same at a node that hears peers and of no holder since it
+	// started: the whole fleet has started anew. One that hears no peer yet may
+	// have started alone, while a holder grants the others all of the rate.
 	freshPart = 1.0
 	// standingBurst is the number of tokens that a node's standing share holds
 	// at most.
@@ -257,9 +257,9 @@
 // standing spends from this node's share that needs no holder. The mutex is
 // held.
 func (s *Service) standing(now time.Time, org *rules.Organisation) bool {
-	_, known := s.fleet.Running(now)
+	ids, known := s.fleet.Running(now)
 	part := standingPart
-	if s.claim.Epoch == 0 {
+	if s.claim.Epoch == 0 && len(ids) > 1 {
 		part = freshPart
 	}
 	rate := org.Rate * part / float64(max(known, 2))
--- a/internal/fleet/allowance/allowance_test.go
+++ b/internal/fleet/allowance/allowance_test.go
@@ -247,6 +247,26 @@
 	})
 }
 
+// A node that starts alone, out of its peers' reach, spends its part of what the
+// holder leaves, not an equal part of the whole rate.
+func TestFreshNodeAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork(t, 12)
+		w.cut("n05")
+		alone := w.nodes["n05"].rates
+		const window, standingPart = 4 * time.Second, 0.4
+		taken := 0
+		for end := time.Now().Add(window); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			if alone.Take(context.Background(), time.Now(), &org, 0) != allowance.Exceeded {
+				taken++
+			}
+		}
+		is.True(taken > 0)
+		is.True(float64(taken) <= 2+org.Rate*standingPart/12*window.Seconds())
+	})
+}
+
 // Callers that repeat lookups use up the rate of their organisation; its requests
 // of the highest rank still pass, and the bound holds for both together.
 func TestRanksOfOneOrganisation(t *testing.T) {
