The holder holds back what nodes that are cut off may spend

The holder granted the rate with the whole tolerated overage, and the nodes cut off their standing share beside it.

--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -45,8 +45,8 @@
 	// share is used.
 	missingAfter = 300 * time.Millisecond
 	// standingPart is the part of an organisation's rate that all nodes
-	// together may spend without a holder. With a third of the nodes cut off
-	// it is an eighth of the rate, about the tolerated overage.
+	// together may spend without a holder. The holder grants that much less for
+	// the nodes that it does not hear.
 	standingPart = 0.4
 	// freshPart is the same at a node that hears peers and of no holder since it
 	// started: the whole fleet has started anew. One that hears no peer yet may
@@ -142,6 +142,8 @@
 	shares  map[string]share
 	asked   time.Time
 	drawing bool
+	// missing is the part of the nodes known that this node does not hear.
+	missing float64
 	// minority is set while this node hears too few of the others to hold.
 	minority bool
 	// unanswered is when the first draw was sent that had no answer since.
@@ -371,8 +373,10 @@
 	return answer
 }
 
+// partOf is the bucket of an organisation at its holder. Nodes that are not heard
+// may be cut off and spend their standing share, which is held back here.
 func (s *Service) partOf(now time.Time, org *rules.Organisation) *bucket.Part {
-	terms := bucket.Terms{Rate: org.Rate * overage, Burst: org.Burst * overage}
+	terms := bucket.Terms{Rate: org.Rate * (overage - standingPart*s.missing), Burst: org.Burst * overage}
 	p, ok := s.parts[org.Name]
 	if !ok {
 		p = bucket.NewPart(now, terms, bucket.Whole)
@@ -471,6 +475,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.minority = 2*len(ids) <= known
+	s.missing = float64(max(known-len(ids), 0)) / float64(max(known, 1))
 	s.fillParts(now, self.ID)
 	if now.Sub(s.began) < settleTime || self.Leaving || s.holderRuns(now) {
 		return
--- a/internal/fleet/allowance/allowance_test.go
+++ b/internal/fleet/allowance/allowance_test.go
@@ -233,6 +233,25 @@
 	})
 }
 
+// The same over the users' window, with the holder's bucket full at its start:
+// what the nodes that are cut off may spend is held back by the holder.
+func TestNodesCutOffForAWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork(t, 12)
+		time.Sleep(settle)
+		for i := 8; i < 12; i++ {
+			w.cut(fmt.Sprintf("n%02d", i))
+		}
+		time.Sleep(time.Second)
+		window := 5 * time.Second
+		taken, _ := w.spend(org.Rate*8/12, window)
+		t.Logf("%d taken, %d allowed", taken, allowed(window))
+		is.True(taken <= allowed(window))
+		is.True(float64(taken) >= org.Rate*window.Seconds())
+	})
+}
+
 // The holder goes; its successor grants nothing twice, and soon the rate.
 func TestHolderCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
