A planned stop answers what came between its last look and its end

The node now closes listener and idle connections first, then waits for what is left. Ruled out: links (no fault since 3 s). TestFinish: red without the wait.

--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -241,9 +241,8 @@
 		time.Sleep(idlePoll)
 	}
 	busy := n.callers.Busy() + n.guard.Busy()
-	n.callers.CloseIdle()
+	n.callers.Finish(last)
 	n.roster.Leave(clock.Now())
-	n.callers.Close()
 	n.peers.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), endMargin/2)
 	defer cancel()
--- a/internal/traffic/httpconn/httpconn_test.go
+++ b/internal/traffic/httpconn/httpconn_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -317,6 +318,40 @@
 	}
 }
 
+// A request that comes just before a server finishes gets its whole answer; an
+// idle connection ends at once, and nothing is waited for without end.
+func TestFinish(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := serve(t, func(context.Context, *httpconn.Request) *httpconn.Response {
+		close(entered)
+		<-release
+		return &httpconn.Response{Status: 200, Body: []byte("whole")}
+	})
+	busy, err := net.Dial("tcp", s.Address())
+	is.NoErr(err)
+	idle, err := net.Dial("tcp", s.Address())
+	is.NoErr(err)
+	_, err = io.WriteString(busy, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-entered
+	finished := make(chan struct{})
+	go func() {
+		s.Finish(time.Now().Add(5 * time.Second))
+		close(finished)
+	}()
+	_ = idle.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = idle.Read(make([]byte, 1))
+	is.True(err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
+	close(release)
+	resp, err := http.ReadResponse(bufio.NewReader(busy), nil)
+	is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "whole")
+	<-finished
+}
+
 // A request that went out on a forgotten connection doesn't count as not sent,
 // also when there is no fresh connection for its second try.
 func TestForgottenAndGone(t *testing.T) {
--- a/internal/traffic/httpconn/server.go
+++ b/internal/traffic/httpconn/server.go
@@ -28,6 +28,8 @@
 	lingerTimeout = 500 * time.Millisecond
 	// acceptPause is the time to the next try after a failed accept.
 	acceptPause = 10 * time.Millisecond
+	// finishPoll is the time between looks whether all requests are answered.
+	finishPoll = 5 * time.Millisecond
 	// bufferSize is the size of a connection's buffers, in bytes: most requests
 	// fit into one.
 	bufferSize = 2 << 10
@@ -154,14 +156,20 @@
 	s.workers.stop()
 }
 
-// CloseIdle stops accepting and ends the connections without a request.
-func (s *Server) CloseIdle() {
+// Finish stops accepting, ends the connections without a request at once, and
+// the others when their requests are answered or the time is over. What came in
+// since the server seemed idle is answered.
+func (s *Server) Finish(until time.Time) {
 	_ = s.listener.Close()
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for c := range s.conns {
 		c.closeIdle()
 	}
+	s.mu.Unlock()
+	for s.Busy() > 0 && time.Now().Before(until) {
+		time.Sleep(finishPoll)
+	}
+	s.Close()
 }
 
 type serverConn struct {
