--- a/internal/fleet/allowance/allowance_test.go
+++ b/internal/fleet/allowance/allowance_test.go
@@ -100,6 +100,13 @@
 	w.nodes[id].cut = true
 }
 
+// cutThird cuts off the last four of twelve nodes, one by one.
+func (w *network) cutThird() {
+	for i := 8; i < 12; i++ {
+		w.cut(fmt.Sprintf("n%02d", i))
+	}
+}
+
 // notes passes claims between nodes, as exchanges do.
 func (w *network) notes(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -224,9 +231,7 @@
 		is := is.New(t)
 		w := newNetwork(t, 12)
 		time.Sleep(settle)
-		for i := 8; i < 12; i++ {
-			w.cut(fmt.Sprintf("n%02d", i))
-		}
+		w.cutThird()
 		window := 3 * time.Second
 		taken, _ := w.spend(org.Rate*8/12, window)
 		is.True(taken <= allowed(window))
@@ -240,9 +245,7 @@
 		is := is.New(t)
 		w := newNetwork(t, 12)
 		time.Sleep(settle)
-		for i := 8; i < 12; i++ {
-			w.cut(fmt.Sprintf("n%02d", i))
-		}
+		w.cutThird()
 		time.Sleep(time.Second)
 		window := 5 * time.Second
 		taken, _ := w.spend(org.Rate*8/12, window)
--- a/internal/fleet/roster/packet.go
+++ b/internal/fleet/roster/packet.go
@@ -6,8 +6,6 @@
 )
 
 const (
-	// maxPacket bounds a datagram, in bytes: one frame on usual links.
-	maxPacket = 1400
 	// maxBeats bounds the members named in one datagram.
 	maxBeats = 24
 	// maxRecords bounds the whole records in one datagram.
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -215,7 +215,10 @@
 
 // admit gets a slot for a call, or says why there is none.
 func (s *Service) admit(ctx context.Context, now time.Time, id uint64, c call.Call, until time.Time) *call.Refused {
-	targets := s.targets(c.Service)
+	targets := 0
+	if c.Again && !c.Paid {
+		targets = s.targets(c.Service)
+	}
 	s.mu.Lock()
 	if refused := s.mismatch(now, c); refused != nil {
 		s.mu.Unlock()
--- a/internal/traffic/guard/send.go
+++ b/internal/traffic/guard/send.go
@@ -130,7 +130,10 @@
 
 // started adds a call to those running.
 func (s *Service) started(now time.Time, c call.Call) {
-	targets := s.targets(c.Service)
+	targets := 0
+	if !c.Again {
+		targets = s.targets(c.Service)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !c.Again {
--- a/internal/traffic/relay/place.go
+++ b/internal/traffic/relay/place.go
@@ -30,7 +30,7 @@
 		}
 		q.tried = append(q.tried, pick.Candidate.ID)
 		q.outcome = s.dispatch(ctx, now, q, pick)
-		answer, again := s.judge(ctx, q)
+		answer, again := s.judge(ctx, clock.Now(), q)
 		if !again {
 			return answer.resp, answer.verdict
 		}
@@ -68,22 +68,22 @@
 }
 
 // judge decides whether an outcome is final.
-func (s *Service) judge(ctx context.Context, q *request) (answer final, again bool) {
+func (s *Service) judge(ctx context.Context, now time.Time, q *request) (answer final, again bool) {
 	switch o := q.outcome.(type) {
 	case call.Answered:
 		q.runs++
 		q.paid = bool(o.Spare)
 		answer = final{resp: o.Response}
-		again = resend.Again(resend.Whole{Status: o.Response.Status, Inner: o.Inner}, q.route.Idempotent) && s.again(q)
+		again = resend.Again(resend.Whole{Status: o.Response.Status, Inner: o.Inner}, q.route.Idempotent) && s.again(now, q)
 	case call.Refused:
-		return s.refused(ctx, q, o)
+		return s.refused(ctx, now, q, o)
 	case call.Lost:
 		q.runs, q.lost, q.paid = q.runs+1, true, bool(o.Spare)
 		if ctx.Err() != nil || o.Reason == failure.Deadline {
 			return final{verdict: s.expired(q)}, false
 		}
 		answer = final{verdict: &verdict{http.StatusBadGateway, failure.Lost, 0}}
-		again = q.route.Idempotent && s.again(q)
+		again = q.route.Idempotent && s.again(now, q)
 	default:
 		answer = final{verdict: &verdict{http.StatusBadGateway, failure.Broken, 0}}
 	}
@@ -92,11 +92,11 @@
 }
 
 // refused decides about a send that did not run.
-func (s *Service) refused(ctx context.Context, q *request, o call.Refused) (answer final, again bool) {
+func (s *Service) refused(ctx context.Context, now time.Time, q *request, o call.Refused) (answer final, again bool) {
 	switch {
 	case o.Reason == failure.Retries:
 		s.mu.Lock()
-		s.denied[q.call.Service] = clock.Now()
+		s.denied[q.call.Service] = now
 		s.mu.Unlock()
 	case o.Arrived:
 		q.runs++
@@ -105,7 +105,7 @@
 		if !q.lost && q.runs == q.turned {
 			q.instead = final{verdict: &verdict{http.StatusServiceUnavailable, o.Reason, s.after(q, o.Reason, o.After)}}
 		}
-		again = s.again(q) || s.stays(q)
+		again = s.again(now, q) || s.stays(q)
 	default:
 		again = len(q.tried) < places && ctx.Err() == nil
 	}
@@ -114,7 +114,7 @@
 
 // again reports whether the request may go to one more target. Its node has the
 // last word, unless the node of the target before has counted the send.
-func (s *Service) again(q *request) bool {
+func (s *Service) again(now time.Time, q *request) bool {
 	if q.runs >= max(q.route.Attempts, 1) {
 		return false
 	}
@@ -123,7 +123,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return clock.Now().Sub(s.denied[q.call.Service]) > noRepeatFor
+	return now.Sub(s.denied[q.call.Service]) > noRepeatFor
 }
 
 // stays reports whether a caller's request goes to the same target once more,
