Calls of targets name their parent in the logs; refusals name the load

Refusals now name running, waiting, limit, cut and depth; requests their score; calls of targets the call that they belong to, found by deadlines (policy/lineage). No decision uses it.

--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/intake"
 	"chestnutshed.example/chestnutshed/internal/policy/level"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
+	"chestnutshed.example/chestnutshed/internal/policy/lineage"
 	"chestnutshed.example/chestnutshed/internal/policy/spare"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
@@ -68,6 +70,7 @@
 	// their parts that are repeats.
 	running, repeats float64
 	times            *hold.Times
+	calls            *lineage.Calls
 	downTil          time.Time
 	closed           bool
 	lastID           atomic.Uint64
@@ -99,6 +102,7 @@
 	s := &Service{
 		dialect: d, log: log, heard: o.Heard, extra: spare.New(o.Extra), targets: o.Targets,
 		intake: intake.New(gate.Sidecar()), waiting: map[uint64]chan step{}, times: hold.New(clock.Now()),
+		calls:    lineage.New(clock.Now()),
 		runs:     set.NewCounter("target_calls_total"),
 		refusals: set.NewCounter("target_refusals_total"),
 		losses:   set.NewCounter("target_losses_total"),
@@ -204,15 +208,24 @@
 	until := now.Add(c.LeftTime())
 	if refused := s.admit(ctx, now, id, c, until); refused != nil {
 		s.refusals.Inc()
-		s.log.WithFields(logrus.Fields{
-			"request": c.ID, "route": c.Route, "reason": refused.Reason,
-			"score": float64(c.Score), "waited_ms": clock.Now().Sub(now).Milliseconds(), "after_ms": refused.After.Milliseconds(),
-		}).Info("call refused by its serving node")
+		s.logRefusal(now, c, *refused)
 		return *refused
 	}
 	return s.send(ctx, id, c, r, until)
 }
 
+// logRefusal writes why a call got no slot.
+func (s *Service) logRefusal(now time.Time, c call.Call, r call.Refused) {
+	s.mu.Lock()
+	g := s.intake.State().Gate
+	s.mu.Unlock()
+	s.log.WithFields(logrus.Fields{
+		"request": c.ID, "route": c.Route, "reason": r.Reason, "score": float64(c.Score), "depth": c.Depth,
+		"waited_ms": clock.Now().Sub(now).Milliseconds(), "after_ms": r.After.Milliseconds(),
+		"running": g.Running, "waiting": g.Waiting, "limit": g.Limit, "cut": g.Cut,
+	}).Info("call refused by its serving node")
+}
+
 // admit gets a slot for a call, or says why there is none.
 func (s *Service) admit(ctx context.Context, now time.Time, id uint64, c call.Call, until time.Time) *call.Refused {
 	targets := 0
@@ -310,6 +323,14 @@
 	return &call.Refused{Reason: st.reason, After: s.intake.ComeBack()}
 }
 
+// Parent is the running call that a call of the target belongs to. It returns
+// false if there is none.
+func (s *Service) Parent(now time.Time, route string, until time.Time) (lineage.Parent, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls.Find(now, route, until, rand.Float64())
+}
+
 // InnerFailed notes that a call which the target made did not succeed.
 func (s *Service) InnerFailed(now time.Time) {
 	s.mu.Lock()
--- a/internal/traffic/guard/send.go
+++ b/internal/traffic/guard/send.go
@@ -10,6 +10,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/gate"
+	"chestnutshed.example/chestnutshed/internal/policy/lineage"
 	"chestnutshed.example/chestnutshed/internal/policy/resend"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
@@ -38,10 +39,10 @@
 		reuse.Rested = freshFor
 	}
 	s.runs.Inc()
-	s.started(began, c)
+	s.started(began, id, c, until)
 	resp, err := s.pool.Do(ctx, &out, reuse)
 	now := clock.Now()
-	s.ended(began, now, c, resp != nil || ctx.Err() != nil)
+	s.ended(began, now, id, c, resp != nil || ctx.Err() != nil)
 	s.took.Update(now.Sub(began).Seconds())
 	outcome := s.spare(c, s.judge(ctx, began, now, id, resp, err))
 	if _, whole := outcome.(call.Answered); !whole {
@@ -129,7 +130,7 @@
 }
 
 // started adds a call to those running.
-func (s *Service) started(now time.Time, c call.Call) {
+func (s *Service) started(now time.Time, id uint64, c call.Call, until time.Time) {
 	targets := 0
 	if !c.Again {
 		targets = s.targets(c.Service)
@@ -142,14 +143,16 @@
 	s.running++
 	s.repeats += c.Repeat
 	s.times.Start(now, c.Route)
+	s.calls.Start(now, id, lineage.Running{ID: c.ID, Route: c.Route, Root: c.Score, Until: until})
 }
 
 // ended takes a call off those running. Counts is false for one that says
 // nothing about the target's speed.
-func (s *Service) ended(began, now time.Time, c call.Call, counts bool) {
+func (s *Service) ended(began, now time.Time, id uint64, c call.Call, counts bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
 	s.repeats -= c.Repeat
+	s.calls.End(now, id)
 	s.times.End(began, now, c.Route, counts)
 }
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -239,6 +239,7 @@
 		c.Depth, wait = 2, q.route.Objective/innerWaitPart
 		c.Score = priority.New(manifest.Critical, 0)
 		c.Repeat = s.Guard.Repeats()
+		q.parent, _ = s.Guard.Parent(now, c.Route, q.began.Add(q.wish.Left))
 	} else {
 		c.Organisation = q.org.Name
 		order := q.route.Rank
--- a/internal/traffic/relay/request.go
+++ b/internal/traffic/relay/request.go
@@ -8,6 +8,7 @@
 	"chestnutshed.example/chestnutshed/internal/config/follow"
 	"chestnutshed.example/chestnutshed/internal/config/rules"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/lineage"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"github.com/sirupsen/logrus"
@@ -27,7 +28,9 @@
 	org      *rules.Organisation
 	quota    string
 	call     call.Call
-	tried    []string
+	// parent is the call of the own target that this one is made for.
+	parent lineage.Parent
+	tried  []string
 	// runs is the number of sends that reached a target or may have, turned
 	// that of those which it refused to run.
 	runs, turned int
@@ -69,10 +72,15 @@
 	}
 	if q.route != nil {
 		fields["route"], fields["service"] = q.route.Name, q.call.Service
+		fields["score"], fields["left_ms"] = float64(q.call.Score), q.wish.Left.Milliseconds()
 	}
 	if q.org != nil {
 		fields["organisation"], fields["quota"] = q.org.Name, q.quota
 	}
+	if q.parent.ID != "" {
+		fields["parent"], fields["parent_route"], fields["parent_known"] = q.parent.ID, q.parent.Route, q.parent.Known
+		fields["parent_off_ms"] = q.parent.Off.Milliseconds()
+	}
 	if q.outcome != nil {
 		fields["last"] = call.Describe(q.outcome)
 	}
