An organisation's rank goes before its routes', not in their place

Cause: an organisation's priority replaced that of the route, so that all requests of a deployment whose organisations have one were of the same importance. Evidence: the score of all callers' requests in the logs lay between 2.0 and 2.25, whatever the route. Change: scores have grades within an importance; the organisation's rank gives the importance, the route's the grade. Test: TestOrganisationRankHidesRoutes, red with the former rule (payment and lookup of an organisation at the same class).

--- a/internal/config/rules/rules.go
+++ b/internal/config/rules/rules.go
@@ -73,7 +73,8 @@
 	// Rate of 0 is no limit.
 	Rate  float64
 	Burst float64
-	// Rank takes the place of a route's where it is set.
+	// Rank orders organisations by importance, 0 first, where it is set. It goes
+	// before the rank of a route, which orders the requests of one organisation.
 	Rank    int
 	HasRank bool
 }
--- a/internal/policy/gate/gate.go
+++ b/internal/policy/gate/gate.go
@@ -209,7 +209,7 @@
 // important one waits here.
 func (g *Gate) lessImportantWaits(s priority.Score) bool {
 	last, ok := g.queue.Last()
-	return ok && last.Score.Importance() < s.Importance()
+	return ok && last.Score.Class() > s.Class()
 }
 
 // tooLate reports whether a request can't finish before its deadline.
--- a/internal/policy/level/level.go
+++ b/internal/policy/level/level.go
@@ -13,14 +13,13 @@
 	"math"
 	"time"
 
-	"chestnutshed.example/chestnutshed/internal/config/manifest"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 )
 
 const (
 	// Tick is the time between two decisions.
 	Tick = 50 * time.Millisecond
-	// binsPerClass is the resolution of offered work, per importance.
+	// binsPerClass is the resolution of offered work, per class.
 	binsPerClass = 256
 	// memory is the time constant of offered work and capacity.
 	memory = 500 * time.Millisecond
@@ -64,7 +63,7 @@
 // for concurrent use.
 type Level struct {
 	cut     priority.Cut
-	offered [manifest.Importances * binsPerClass]float64
+	offered [priority.Classes * binsPerClass]float64
 	fresh   []priority.Score
 	// let is the rate offered below the cut lately, in requests a second.
 	let float64
@@ -73,10 +72,10 @@
 	busy float64
 	// slots is the latest concurrency limit.
 	slots int
-	// top is the greatest score lately offered at each importance, the most
-	// important first. Senders hold back what is above the cut, so the top
+	// top is the greatest score lately offered of each class, the most important
+	// first. Senders hold back what is above the cut, so the top
 	// outlives what is seen.
-	top [manifest.Importances]priority.Score
+	top [priority.Classes]priority.Score
 }
 
 // New returns a level that admits everything.
@@ -166,8 +165,8 @@
 	l.let = l.let*keepRecent + below/elapsed.Seconds()*(1-keepRecent)
 }
 
-// skipEmpty moves a cut above all work lately offered at its importance to the
-// start of the next, less important one.
+// skipEmpty moves a cut above all work lately offered of its class to the start of
+// the next, less important one.
 func (l *Level) skipEmpty(cut priority.Cut) priority.Cut {
 	if cut >= priority.Open {
 		return priority.Open
@@ -194,5 +193,5 @@
 
 func bin(s priority.Score) int {
 	i := int(float64(s) * binsPerClass)
-	return min(max(i, 0), manifest.Importances*binsPerClass-1)
+	return min(max(i, 0), priority.Classes*binsPerClass-1)
 }
--- a/internal/policy/priority/priority.go
+++ b/internal/policy/priority/priority.go
@@ -2,8 +2,8 @@
 // that a node admits requests up to.
 //
 // A score packs both into one number that all nodes compare alike: its whole
-// part is the importance, greatest importance first, and its fraction the rank
-// on a logarithmic scale. Because a root keeps its score on every hop, nodes
+// part is the class, an importance and a grade within it, the greatest first, and
+// its fraction the rank on a logarithmic scale. Because a root keeps its score on every hop, nodes
 // that shed by score shed the same roots, and an admitted root finishes.
 package priority
 
@@ -27,25 +27,38 @@
 // doublings of the rank: their work so far would be lost.
 const innerSlack = 0.25
 
+// Grades is the number of grades of an importance, and Classes that of both
+// together.
+const (
+	Grades  = 3
+	Classes = manifest.Importances * Grades
+)
+
 // New returns the score for an importance and a rank of at least 0.
-func New(importance manifest.Importance, rank float64) Score {
-	class := manifest.Importances - 1 - int(importance)
-	class = min(max(class, 0), manifest.Importances-1)
+func New(importance manifest.Importance, rank float64) Score { return Graded(importance, 0, rank) }
+
+// Graded returns the score for an importance, a grade within it, 0 first, and a rank
+// of at least 0.
+func Graded(importance manifest.Importance, grade int, rank float64) Score {
+	order := min(max(manifest.Importances-1-int(importance), 0), manifest.Importances-1)
+	class := order*Grades + min(max(grade, 0), Grades-1)
 	fraction := math.Log2(1+max(rank, 0)/rankUnit) / octaves
 	return Score(float64(class) + min(fraction, 0.999999))
 }
 
+// Class is the place of the score's importance and grade among all, 0 first.
+func (s Score) Class() int { return min(max(int(s), 0), Classes-1) }
+
 // Importance is the importance that the score was made from.
 func (s Score) Importance() manifest.Importance {
-	class := min(max(int(s), 0), manifest.Importances-1)
-	return manifest.Importance(manifest.Importances - 1 - class)
+	return manifest.Importance(manifest.Importances - 1 - s.Class()/Grades)
 }
 
 // Cut is the greatest score admitted.
 type Cut float64
 
 // Open admits everything.
-const Open Cut = manifest.Importances
+const Open Cut = Classes
 
 // Closed admits nothing.
 const Closed Cut = 0
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -223,10 +223,20 @@
 	return nil
 }
 
-// importances of callers' requests by the rank of their route, the highest
-// first; calls of targets go before all of them.
+// importances of callers' requests by their organisation's rank, the highest first;
+// calls of targets go before all of them.
 var importances = [...]manifest.Importance{manifest.High, manifest.Normal, manifest.Low}
 
+// score orders a caller's request: by its organisation's rank, or its route's if the
+// organisation has none, then by its route's, then by its place among those alike.
+func score(o *rules.Organisation, r *rules.Route, place float64) priority.Score {
+	order := r.Rank
+	if o.HasRank {
+		order = o.Rank
+	}
+	return priority.Graded(importances[min(max(order, 0), len(importances)-1)], r.Rank, place)
+}
+
 // describe makes the call that serving nodes get.
 func (s *Service) describe(q *request) {
 	c := call.Call{
@@ -242,14 +252,10 @@
 		q.parent, _ = s.Guard.Parent(now, c.Route, q.began.Add(q.wish.Left))
 	} else {
 		c.Organisation = q.org.Name
-		order := q.route.Rank
-		if q.org.HasRank {
-			order = q.org.Rank
-		}
 		s.mu.Lock()
 		place := s.ranker.Rank(now, rank.Flow{Organisation: q.org.Name, Service: c.Service}, max(q.org.Rate, 1), rand.Float64())
 		s.mu.Unlock()
-		c.Score = priority.New(importances[min(max(order, 0), len(importances)-1)], place)
+		c.Score = score(q.org, q.route, place)
 	}
 	q.call, q.patience = c, now.Add(wait)
 }
