--- a/internal/standin/experiment/traffic.go
+++ b/internal/standin/experiment/traffic.go
@@ -124,7 +124,7 @@
 		s.rootEnded(r, resend.Refused{Refusal: failure.New(failure.Poison, "")})
 		return
 	}
-	rankOf := entry.ranker.Rank(s.now, rank.Flow{Organisation: w.org.name, Service: "0"}, w.org.share, s.random.Float64())
+	rankOf := entry.ranker.Rank(s.now, rank.Flow{Organisation: w.org.name}, w.org.share, s.random.Float64())
 	r.score = priority.New(w.kind.importance, rankOf)
 	c := &call{root: r, lent: s.plan.budget}
 	c.done = func(result resend.Result, _, _ int) { s.rootEnded(r, result) }
--- a/internal/traffic/entry/root.go
+++ b/internal/traffic/entry/root.go
@@ -173,7 +173,7 @@
 func (s *Service) message(req *http.Request, r root) sender.Message {
 	now := time.Now()
 	s.mu.Lock()
-	flow := rank.Flow{Organisation: r.organisation(), Service: r.route.Service}
+	flow := rank.Flow{Organisation: r.organisation(), Class: int(r.route.Importance)}
 	score := priority.New(r.route.Importance, s.ranker.Rank(now, flow, r.share(), rand.Float64()))
 	s.mu.Unlock()
 	return sender.Message{
