A service that is short turns roots away at their entry, by their own importance

Cause: on the platform's path all calls of targets were of the highest importance, whatever request they were made for, and the last service's cut was told to nobody but those who ask it directly. Roots were let in at a first service with room, their calls refused at the last, and callers of the last service paid for all. At every refusal there all slots were in use; more than half of them worked for requests that are no more important, a sixth for requests that failed later. Ruled out: a cut that stays low with slots free. Change: a call of a target carries the score of its root, found by policy/lineage, from which the last service's node computes its cut; the calls themselves still go first, so that work that was begun is not lost. Nodes say on their answers what services further down admit, as they do on the product's own path, and entries refuse roots by that. News that grow old let ranks in little by little, not all at once (TestOldNewsOpenAtOnce: without, the next second's roots were all let in).

--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -20,6 +20,7 @@
 	"chestnutshed.example/chestnutshed/internal/fleet/allowance"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/roster"
+	"chestnutshed.example/chestnutshed/internal/policy/choice"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/spare"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
@@ -105,6 +106,7 @@
 	n.guard = guard.New(guard.Options{
 		Address: s.Target, Extra: spare.Terms{Ratio: s.Extra.Ratio, Slack: s.Extra.Slack}, Heard: n.announced,
 		Targets: func(service string) int { return len(n.roster.Serving(clock.Now(), service)) },
+		Below:   func(now time.Time, service, route string) []choice.Below { return n.relay.Below(now, service, route) },
 	}, seams.Dialect, n.set, n.named(guard.Name))
 	n.relay = relay.New(s.Zone, n.terms(s), relay.Parts{
 		Dialect: seams.Dialect, Config: n.config, Roster: n.roster, Allowance: n.rates,
--- a/internal/policy/choice/choice.go
+++ b/internal/policy/choice/choice.go
@@ -81,9 +81,25 @@
 	at  time.Time
 }
 
+// admits reports whether a request of this score passes. Once the cut is too old,
+// ranks are let in little by little: its news come only with answers to calls.
+func (h heard) admits(now time.Time, s priority.Score, depth int) bool {
+	past := now.Sub(h.at) - cutLife
+	switch {
+	case h.at.IsZero():
+		return true
+	case past > 0:
+		return h.cut.Reopened(s, past).Admits(s, depth)
+	}
+	return h.cut.Admits(s, depth)
+}
+
+// fresh reports whether the cut is still believed.
+func (h heard) fresh(now time.Time) bool { return !h.at.IsZero() && now.Sub(h.at) <= cutLife }
+
 // now is the cut as believed at a time.
 func (h heard) now(now time.Time) priority.Cut {
-	if h.at.IsZero() || now.Sub(h.at) > cutLife {
+	if !h.fresh(now) {
 		return priority.Open
 	}
 	return h.cut
@@ -168,7 +184,7 @@
 		return o.cut.now(now).Admits(call.Score, call.Depth)
 	})
 	admitting := c.admitting
-	if !c.belowCut(now, call.Route).Admits(call.Score, call.Depth) {
+	if !c.belowAdmits(now, call) {
 		return Pick{}, failure.New(failure.Overload, "a service further down is overloaded")
 	}
 	if len(admitting) == 0 {
@@ -208,17 +224,18 @@
 	return kept
 }
 
-// belowCut is the least that services further down admit for a route.
-func (c *Chooser) belowCut(now time.Time, route string) priority.Cut {
-	least := priority.Open
-	for service, at := range c.uses[route] {
+// belowAdmits reports whether all services further down admit a call.
+func (c *Chooser) belowAdmits(now time.Time, call Call) bool {
+	for service, at := range c.uses[call.Route] {
 		if now.Sub(at) > useLife {
-			delete(c.uses[route], service)
+			delete(c.uses[call.Route], service)
 			continue
 		}
-		least = min(least, c.below[service].now(now))
+		if !c.below[service].admits(now, call.Score, call.Depth) {
+			return false
+		}
 	}
-	return least
+	return true
 }
 
 // near keeps the candidates of the own zone when one of them has room.
@@ -405,23 +422,24 @@
 	}
 }
 
-// Below lists what calls of a route to a service meet from there on: the most
-// that any candidate of the service admits, and what services further down do.
+// Below lists what calls of a route to a service meet from there on, as far as news
+// are fresh: the most that any candidate of the service admits, and what
+// services further down do.
 func (c *Chooser) Below(now time.Time, all []Candidate, service, route string) []Below {
+	var list []Below
 	most, known := priority.Closed, false
 	for _, k := range all {
-		h := c.of(k.ID).cut
-		if h.at.IsZero() || now.Sub(h.at) > cutLife {
-			continue
+		if h := c.of(k.ID).cut; h.fresh(now) {
+			most, known = max(most, h.cut), true
 		}
-		most, known = max(most, h.cut), true
 	}
-	if !known {
-		most = priority.Open
+	if known {
+		list = append(list, Below{Service: service, Cut: most})
 	}
-	list := []Below{{Service: service, Cut: most}}
 	for _, name := range slices.Sorted(maps.Keys(c.uses[route])) {
-		list = append(list, Below{Service: name, Cut: c.below[name].now(now)})
+		if h := c.below[name]; h.fresh(now) {
+			list = append(list, Below{Service: name, Cut: h.cut})
+		}
 	}
 	return list
 }
--- a/internal/policy/choice/choice_test.go
+++ b/internal/policy/choice/choice_test.go
@@ -147,3 +147,27 @@
 	counts := share(c, start, all)
 	is.Equal(counts["here-0"]+counts["here-1"]+counts["here-2"], 1000)
 }
+
+// News of a service further down come with answers only. While none come since all
+// are refused, requests are let in little by little, not all at once.
+func TestOldNewsOpenAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := chooser()
+	all := []choice.Candidate{{ID: "a", Slots: 10}}
+	closed := priority.Cut(priority.New(manifest.High, 0))
+	c.Answered(start, "a", choice.Report{Route: "r", Cut: priority.Open, Below: []choice.Below{{Service: "deep", Cut: closed}}})
+	admitted := func(after time.Duration) int {
+		n := 0
+		for i := range 100 {
+			_, refusal := c.Choose(start.Add(after), all, choice.Call{Route: "r", Score: priority.New(manifest.Low, float64(i)/100), Depth: 1})
+			if refusal == nil {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(admitted(500*time.Millisecond), 0)
+	early := admitted(700 * time.Millisecond)
+	is.True(early > 0 && early < 20)       // some bring news
+	is.Equal(admitted(3*time.Second), 100) // the service may not be in use any more
+}
--- a/internal/policy/gate/gate.go
+++ b/internal/policy/gate/gate.go
@@ -54,15 +54,26 @@
 
 // Request is one request offered to the gate.
 type Request struct {
-	ID           uint64
-	Route        string
-	Score        priority.Score
+	ID    uint64
+	Route string
+	Score priority.Score
+	// Root is the score of the request that a call of a target is made for, if the
+	// call goes by another one; zero otherwise. It is what the cut is computed from.
+	Root         priority.Score
 	Organisation string
 	Share        float64
 	Depth        int
 	Deadline     time.Time
 }
 
+// root is the score of the request that everything is done for.
+func (r Request) root() priority.Score {
+	if r.Root == 0 {
+		return r.Score
+	}
+	return r.Root
+}
+
 // Verdict is the answer to an offer: Start, Wait or Refuse.
 type Verdict interface{ verdict() }
 
@@ -168,7 +179,7 @@
 // Offer asks for a slot. Moves tells which waiting requests had to go.
 func (g *Gate) Offer(now time.Time, r Request) (Verdict, Moves) {
 	g.account(now)
-	g.level.Offer(r.Score)
+	g.level.Offer(r.root(), r.Depth > 1)
 	if g.tooLate(now, r.Route, r.Deadline) {
 		g.hold[r.Route] *= holdFade
 		return Refuse{Reason: failure.Deadline}, Moves{}
--- a/internal/policy/level/level.go
+++ b/internal/policy/level/level.go
@@ -32,8 +32,11 @@
 	headroom = 1.2
 	// leastPart is the part of the capacity that is let in at least.
 	leastPart = 0.3
-	// gain is the part of a shortage that one tick makes up.
+	// gain is the part of a shortage that one tick makes up, of callers' requests.
 	gain = 1
+	// reaction is how long it takes until a rise of the cut shows in the calls of
+	// targets: their roots are let in elsewhere, and do their work first.
+	reaction = 500 * time.Millisecond
 	// minRise and maxRise bound one rise of the cut, in doublings of the rank.
 	minRise = 0.02
 	maxRise = 1
@@ -65,6 +68,9 @@
 	cut     priority.Cut
 	offered [priority.Classes * binsPerClass]float64
 	fresh   []priority.Score
+	// inner is the part of what is let in that calls of targets make up.
+	inner      float64
+	freshInner int
 	// let is the rate offered below the cut lately, in requests a second.
 	let float64
 	// done and busy are decaying sums of completions and of slot time in use.
@@ -95,8 +101,14 @@
 	return float64(l.slots) * l.done / l.busy
 }
 
-// Offer counts an arrival, admitted or not.
-func (l *Level) Offer(s priority.Score) { l.fresh = append(l.fresh, s) }
+// Offer counts an arrival, admitted or not, by the score of its root. Inner is set
+// for a call of a target, whose root was let in elsewhere.
+func (l *Level) Offer(s priority.Score, inner bool) {
+	l.fresh = append(l.fresh, s)
+	if inner {
+		l.freshInner++
+	}
+}
 
 // Step closes a tick and moves the cut.
 func (l *Level) Step(load Load) {
@@ -135,10 +147,17 @@
 		l.cut = min(l.cut, max(l.quantile(may), lowest))
 	case l.cut < priority.Open && l.let < may:
 		shortage := math.Log2(may / max(l.let, may/16))
-		l.cut = l.skipEmpty(l.cut.WithStep(min(max(gain*shortage, minRise), maxRise)))
+		l.cut = l.skipEmpty(l.cut.WithStep(min(max(l.gain()*shortage, minRise), maxRise)))
 	}
 }
 
+// gain is the part of a shortage that one tick makes up: all of it by requests that
+// come here from callers, less where a rise shows later.
+func (l *Level) gain() float64 {
+	late := float64(Tick) / float64(reaction)
+	return gain*(1-l.inner) + gain*late*l.inner
+}
+
 // queueAim is the number of waiting items that keeps all slots in use.
 func queueAim(slots int) int { return max(4, slots/2) }
 
@@ -160,7 +179,10 @@
 		class := min(int(s), len(l.top)-1)
 		l.top[class] = max(l.top[class], s)
 	}
-	l.fresh = l.fresh[:0]
+	if n := float64(len(l.fresh)); n > 0 {
+		l.inner += (float64(l.freshInner)/n - l.inner) * (1 - keep)
+	}
+	l.fresh, l.freshInner = l.fresh[:0], 0
 	keepRecent := decay(elapsed, recent)
 	l.let = l.let*keepRecent + below/elapsed.Seconds()*(1-keepRecent)
 }
--- a/internal/policy/lineage/lineage.go
+++ b/internal/policy/lineage/lineage.go
@@ -40,6 +40,11 @@
 	// chance they are.
 	leastHits  = 4
 	leastTimes = 2
+	// leastAsked is the number of calls after which, if deadlines tell nothing, the
+	// routes that most of the work is for are taken to make them: those with
+	// mainPart of the running time or more.
+	leastAsked = 200
+	mainPart   = 0.25
 	// forgetBelow is what is left in the memory of a route, in seconds or calls, when
 	// it is forgotten.
 	forgetBelow = 0.001
@@ -64,6 +69,8 @@
 	Off time.Duration
 	// Known is set when the route is known to make such calls.
 	Known bool
+	// Leads is set when it is known or likely to.
+	Leads bool
 }
 
 // origin is a route whose calls run on the target.
@@ -185,7 +192,7 @@
 	for i, upTo := range c.weights {
 		if upTo > u*sum {
 			e := c.running[first+i]
-			return Parent{Running: e.Running, Off: e.Until.Sub(until).Abs(), Known: known}, true
+			return Parent{Running: e.Running, Off: e.Until.Sub(until).Abs(), Known: known, Leads: known || c.main(e.origin, route)}, true
 		}
 	}
 	return Parent{}, false
@@ -225,6 +232,16 @@
 	return 1 + part/(1-part)*float64(spread)/float64(2*within), known
 }
 
+// main reports whether an origin is likely to make calls on a route of which only
+// their number is known.
+func (c *Calls) main(o *origin, route string) bool {
+	held := 0.0
+	for _, other := range c.origins {
+		held += other.held
+	}
+	return c.asked[route] >= leastAsked && o.held >= mainPart*held
+}
+
 // rate is the number of agreeing deadlines for each second that a call of the
 // origin ran; 0 if it is not known to make calls on the route.
 func (o *origin) rate(route string) float64 {
--- a/internal/policy/priority/priority.go
+++ b/internal/policy/priority/priority.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"time"
 
 	"chestnutshed.example/chestnutshed/internal/config/manifest"
 )
@@ -27,6 +28,11 @@
 // doublings of the rank: their work so far would be lost.
 const innerSlack = 0.25
 
+// reopening is how fast a cut that nothing was heard of is let rise, in doublings
+// of the rank a second: a caller's requests are answered within a second or so,
+// and bring news.
+const reopening = 2.0
+
 // Grades is the number of grades of an importance, and Classes that of both
 // together.
 const (
@@ -76,6 +82,13 @@
 	return Cut(lowered) <= c && c > Cut(math.Floor(float64(s)))
 }
 
+// Reopened is the cut that is believed of a node that was not heard of for a while
+// longer than its word holds: from the start of the score's importance on, ranks
+// are let in again little by little.
+func (c Cut) Reopened(s Score, past time.Duration) Cut {
+	return max(c, Cut(math.Floor(float64(s)))).WithStep(reopening * past.Seconds())
+}
+
 // WithStep returns the cut moved by a number of doublings of the rank, within
 // Closed and Open.
 func (c Cut) WithStep(doublings float64) Cut {
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/choice"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"github.com/goccy/go-json"
@@ -33,6 +34,9 @@
 	Caller     string         `json:"from"`
 	Idempotent bool           `json:"idem,omitempty"`
 	Score      priority.Score `json:"-"`
+	// Root is the score of the caller's request that a call of a target is made
+	// for; zero for a caller's request, or if it isn't known.
+	Root priority.Score `json:"-"`
 	// Depth is 1 for a caller's request and 2 for a call of a target.
 	Depth int `json:"depth"`
 	// Left is how long an answer is still of use, in milliseconds.
@@ -119,6 +123,9 @@
 	Cut priority.Cut
 	// Hold is the mean time that calls of the route hold a slot, in seconds.
 	Hold float64
+	// Below is what calls of the route meet at services further down, as far as it
+	// is known.
+	Below []choice.Below
 }
 
 // Fractions travel as whole numbers of these parts: they are written with every
@@ -133,14 +140,16 @@
 type sent struct {
 	Call
 	Score  int64 `json:"score,omitempty"`
+	Root   int64 `json:"root,omitempty"`
 	Repeat int64 `json:"rep,omitempty"`
 }
 
 // result is an outcome between nodes.
 type result struct {
-	Load int64 `json:"load,omitempty"`
-	Cut  int64 `json:"cut"`
-	Hold int64 `json:"hold,omitempty"`
+	Load  int64   `json:"load,omitempty"`
+	Cut   int64   `json:"cut"`
+	Hold  int64   `json:"hold,omitempty"`
+	Below []below `json:"below,omitempty"`
 	// Kind is "whole", "refused" or "lost".
 	Kind    string         `json:"kind"`
 	Reason  failure.Reason `json:"why,omitempty"`
@@ -151,9 +160,15 @@
 	Detail  string         `json:"detail,omitempty"`
 }
 
+// below is a choice.Below between nodes.
+type below struct {
+	Service string `json:"svc"`
+	Cut     int64  `json:"cut"`
+}
+
 // Put writes the call into a request's headers.
 func (c Call) Put(h http.Header) error {
-	text, err := json.Marshal(sent{Call: c, Score: int64(c.Score * scoreParts), Repeat: int64(c.Repeat * loadParts)})
+	text, err := json.Marshal(sent{Call: c, Score: int64(c.Score * scoreParts), Root: int64(c.Root * scoreParts), Repeat: int64(c.Repeat * loadParts)})
 	if err != nil {
 		return fmt.Errorf("encode call: %w", err)
 	}
@@ -168,7 +183,8 @@
 		return t.Call, fmt.Errorf("decode call: %w", err)
 	}
 	h.Del(header)
-	t.Call.Score, t.Call.Repeat = priority.Score(t.Score)/scoreParts, float64(t.Repeat)/loadParts
+	t.Call.Score, t.Call.Root = priority.Score(t.Score)/scoreParts, priority.Score(t.Root)/scoreParts
+	t.Call.Repeat = float64(t.Repeat) / loadParts
 	return t.Call, nil
 }
 
@@ -177,6 +193,9 @@
 	r := result{
 		Load: int64(load.Load * loadParts), Cut: int64(load.Cut * scoreParts), Hold: int64(load.Hold * holdParts),
 	}
+	for _, b := range load.Below {
+		r.Below = append(r.Below, below{b.Service, int64(b.Cut * scoreParts)})
+	}
 	resp := &httpconn.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
 	switch o := o.(type) {
 	case Answered:
@@ -208,6 +227,9 @@
 	load := Load{
 		Load: float64(r.Load) / loadParts, Cut: priority.Cut(r.Cut) / scoreParts, Hold: float64(r.Hold) / holdParts,
 	}
+	for _, b := range r.Below {
+		load.Below = append(load.Below, choice.Below{Service: b.Service, Cut: priority.Cut(b.Cut) / scoreParts})
+	}
 	switch r.Kind {
 	case "whole":
 		return Answered{Response: resp, Inner: r.Inner, Spare: r.Spare}, load, nil
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -66,6 +66,7 @@
 	innerFailed time.Time
 	extra       *spare.Budget
 	targets     func(service string) int
+	below       func(now time.Time, service, route string) []choice.Below
 	// running is the number of calls at the target, and repeats the sum of
 	// their parts that are repeats.
 	running, repeats float64
@@ -93,6 +94,9 @@
 	Extra spare.Terms
 	// Targets is the number of targets of a service.
 	Targets func(service string) int
+	// Below tells what calls on a route to a service meet at its nodes and further
+	// down.
+	Below func(now time.Time, service, route string) []choice.Below
 	// Heard hears of changes of the target.
 	Heard Listener
 }
@@ -100,7 +104,7 @@
 // New returns the service for a target.
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
-		dialect: d, log: log, heard: o.Heard, extra: spare.New(o.Extra), targets: o.Targets,
+		dialect: d, log: log, heard: o.Heard, extra: spare.New(o.Extra), targets: o.Targets, below: o.Below,
 		intake: intake.New(gate.Sidecar()), waiting: map[uint64]chan step{}, times: hold.New(clock.Now()),
 		calls:    lineage.New(clock.Now()),
 		runs:     set.NewCounter("target_calls_total"),
@@ -188,7 +192,28 @@
 func (s *Service) Load(route string) call.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return call.Load{Load: s.intake.Load(), Cut: s.intake.Cut(), Hold: s.times.Estimate(clock.Now(), route)}
+	now := clock.Now()
+	return call.Load{
+		Load: s.intake.Load(), Cut: s.intake.Cut(), Hold: s.times.Estimate(now, route),
+		Below: s.intake.Below(now, route, s.down(now)),
+	}
+}
+
+// down tells what calls of the target meet.
+func (s *Service) down(now time.Time) intake.Down {
+	return func(c intake.Child) []choice.Below { return s.below(now, c.Service, c.Route) }
+}
+
+// Made notes a call that the target makes, and returns the running call that it
+// belongs to. It returns false if there is none.
+func (s *Service) Made(now time.Time, child intake.Child, until time.Time) (lineage.Parent, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	parent, ok := s.calls.Find(now, child.Route, until, rand.Float64())
+	if parent.Leads {
+		s.intake.Called(now, parent.Route, child)
+	}
+	return parent, ok
 }
 
 // innerFailedSince reports whether a call of the target failed since a time.
@@ -198,8 +223,6 @@
 	return !s.innerFailed.Before(began)
 }
 
-func none(intake.Child) []choice.Below { return nil }
-
 // Run admits one call and runs it on the target. The context ends when the
 // caller has gone; a call that can't be repeated goes on all the same once it
 // has started.
@@ -242,9 +265,9 @@
 		return &call.Refused{Reason: failure.Retries}
 	}
 	verdict, moves := s.intake.Offer(now, gate.Request{
-		ID: id, Route: c.Route, Score: c.Score, Organisation: c.Organisation,
+		ID: id, Route: c.Route, Score: c.Score, Root: c.Root, Organisation: c.Organisation,
 		Share: 1, Depth: c.Depth, Deadline: until,
-	}, c.Forced, none)
+	}, c.Forced, s.down(now))
 	var ch chan step
 	if _, waits := verdict.(gate.Wait); waits {
 		ch = make(chan step, 1)
@@ -323,14 +346,6 @@
 	return &call.Refused{Reason: st.reason, After: s.intake.ComeBack()}
 }
 
-// Parent is the running call that a call of the target belongs to. It returns
-// false if there is none.
-func (s *Service) Parent(now time.Time, route string, until time.Time) (lineage.Parent, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.calls.Find(now, route, until, rand.Float64())
-}
-
 // InnerFailed notes that a call which the target made did not succeed.
 func (s *Service) InnerFailed(now time.Time) {
 	s.mu.Lock()
--- a/internal/traffic/guard/send.go
+++ b/internal/traffic/guard/send.go
@@ -11,6 +11,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/gate"
 	"chestnutshed.example/chestnutshed/internal/policy/lineage"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/resend"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
@@ -143,7 +144,15 @@
 	s.running++
 	s.repeats += c.Repeat
 	s.times.Start(now, c.Route)
-	s.calls.Start(now, id, lineage.Running{ID: c.ID, Route: c.Route, Root: c.Score, Until: until})
+	s.calls.Start(now, id, lineage.Running{ID: c.ID, Route: c.Route, Root: root(c), Until: until})
+}
+
+// root is the score of the caller's request that a call is made for.
+func root(c call.Call) priority.Score {
+	if c.Depth > 1 {
+		return c.Root
+	}
+	return c.Score
 }
 
 // ended takes a call off those running. Counts is false for one that says
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -19,6 +19,7 @@
 	"chestnutshed.example/chestnutshed/internal/fleet/allowance"
 	"chestnutshed.example/chestnutshed/internal/fleet/roster"
 	"chestnutshed.example/chestnutshed/internal/policy/choice"
+	"chestnutshed.example/chestnutshed/internal/policy/intake"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/rank"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
@@ -249,7 +250,8 @@
 		c.Depth, wait = 2, q.route.Objective/innerWaitPart
 		c.Score = priority.New(manifest.Critical, 0)
 		c.Repeat = s.Guard.Repeats()
-		q.parent, _ = s.Guard.Parent(now, c.Route, q.began.Add(q.wish.Left))
+		q.parent, _ = s.Guard.Made(now, intake.Child{Service: c.Service, Route: c.Route}, q.began.Add(q.wish.Left))
+		c.Root = q.parent.Root
 	} else {
 		c.Organisation = q.org.Name
 		s.mu.Lock()
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -101,7 +101,18 @@
 func (s *Service) answered(id string, q *request, load call.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.chooser.Answered(clock.Now(), id, choice.Report{Route: q.route.Name, Load: load.Load, Cut: load.Cut, Hold: load.Hold})
+	s.chooser.Answered(clock.Now(), id, choice.Report{
+		Route: q.route.Name, Load: load.Load, Cut: load.Cut, Hold: load.Hold, Below: load.Below,
+	})
+}
+
+// Below is what calls on a route to a service meet at its nodes and further down,
+// as far as this node has heard lately.
+func (s *Service) Below(now time.Time, service, route string) []choice.Below {
+	all := s.Roster.Serving(now, service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.Below(now, s.candidates(all), service, route)
 }
 
 func (s *Service) withdrawn(id string) {
