The node of a target that is away does not hide that the others are full

Cause: a target had crashed for good without signing off. Its node refuses calls at once and so has nothing to cut; it reported an open cut, and the least strict cut of a service's nodes counts. It also drew calls, being quick and idle: 260 in two seconds. Change: while its target is not ready or refuses connections, a node reports that it admits nothing. Such a node is asked only if no other admits a call, and does not count in what a service admits. Test: TestGoneTargetHidesOverload, red before.

--- a/internal/policy/choice/choice.go
+++ b/internal/policy/choice/choice.go
@@ -183,6 +183,10 @@
 	c.admitting = c.filter(c.admitting, usable, func(_ Candidate, o *observed) bool {
 		return o.cut.now(now).Admits(call.Score, call.Depth)
 	})
+	if len(c.admitting) == 0 {
+		// A target that was away may be back.
+		c.admitting = c.filter(c.admitting, usable, func(_ Candidate, o *observed) bool { return o.cut.now(now) == priority.None })
+	}
 	admitting := c.admitting
 	if !c.belowAdmits(now, call) {
 		return Pick{}, failure.New(failure.Overload, "a service further down is overloaded")
@@ -361,7 +365,8 @@
 // Report is what a candidate's answer said.
 type Report struct {
 	Route string
-	// Load, Cut and Below come with every answer of a node.
+	// Load, Cut and Below come with every answer of a node. Cut is priority.None while
+	// its target is away.
 	Load  float64
 	Cut   priority.Cut
 	Below []Below
@@ -423,13 +428,13 @@
 }
 
 // Below lists what calls of a route to a service meet from there on, as far as news
-// are fresh: the most that any candidate of the service admits, and what
-// services further down do.
+// are fresh: the most that any candidate of the service admits whose target is there,
+// and what services further down do.
 func (c *Chooser) Below(now time.Time, all []Candidate, service, route string) []Below {
 	var list []Below
-	most, known := priority.Closed, false
+	most, known := priority.None, false
 	for _, k := range all {
-		if h := c.of(k.ID).cut; h.fresh(now) {
+		if h := c.of(k.ID).cut; h.fresh(now) && h.cut != priority.None {
 			most, known = max(most, h.cut), true
 		}
 	}
--- a/internal/policy/choice/choice_test.go
+++ b/internal/policy/choice/choice_test.go
@@ -148,6 +148,27 @@
 	is.Equal(counts["here-0"]+counts["here-1"]+counts["here-2"], 1000)
 }
 
+// The node of a target that is gone has nothing to cut. What it says must not hide
+// that all others are overloaded, nor draw calls while others take them.
+func TestGoneTargetHidesOverload(t *testing.T) {
+	is := is.New(t)
+	c := chooser()
+	all := []choice.Candidate{{ID: "full", Slots: 10}, {ID: "gone", Slots: 10}}
+	cut := priority.Cut(priority.New(manifest.High, 0))
+	c.Answered(start, "full", choice.Report{Route: "r", Load: 2, Cut: cut})
+	c.Answered(start, "gone", choice.Report{Route: "r", Cut: priority.None})
+	is.Equal(c.Below(start, all, "s", "r"), []choice.Below{{Service: "s", Cut: cut}})
+	important := choice.Call{Route: "r", Score: priority.New(manifest.Critical, 0), Depth: 2}
+	for range 10 {
+		pick, refusal := c.Choose(start, all, important)
+		is.True(refusal == nil)
+		is.Equal(pick.Candidate.ID, "full")
+	}
+	pick, refusal := c.Choose(start, all[1:], important)
+	is.True(refusal == nil)
+	is.Equal(pick.Candidate.ID, "gone") // it may be back
+}
+
 // News of a service further down come with answers only. While none come since all
 // are refused, requests are let in little by little, not all at once.
 func TestOldNewsOpenAtOnce(t *testing.T) {
--- a/internal/policy/priority/priority.go
+++ b/internal/policy/priority/priority.go
@@ -66,9 +66,12 @@
 // Open admits everything.
 const Open Cut = Classes
 
-// Closed admits nothing.
+// Closed admits only the most important requests of the lowest rank.
 const Closed Cut = 0
 
+// None admits nothing.
+const None Cut = -1
+
 // Admits reports whether a request with this score passes. Depth is the
 // number of hops from the root's caller, 1 for the root itself.
 func (c Cut) Admits(s Score, depth int) bool {
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -20,6 +20,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/level"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/lineage"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/spare"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
@@ -193,8 +194,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
+	cut := s.intake.Cut()
+	if s.target.State != lifecycle.Ready || s.closed || now.Before(s.downTil) {
+		cut = priority.None
+	}
 	return call.Load{
-		Load: s.intake.Load(), Cut: s.intake.Cut(), Hold: s.times.Estimate(now, route),
+		Load: s.intake.Load(), Cut: cut, Hold: s.times.Estimate(now, route),
 		Below: s.intake.Below(now, route, s.down(now)),
 	}
 }
