A free slot is not withheld by a cut that is still low

Cause: where most calls come from targets, the cut rises by the time that these take to show, and refused callers' requests meanwhile. Change: a request above the cut gets a slot if one is free and nobody waits. Test: TestFreeSlotWithheld, red before.

--- a/internal/policy/gate/gate.go
+++ b/internal/policy/gate/gate.go
@@ -36,6 +36,8 @@
 	Order queue.Order
 	// Levels switches the early cut on.
 	Levels bool
+	// KeepBusy gives a free slot to a request above the cut, if nothing waits.
+	KeepBusy bool
 	// Adaptive lets the target's refusals lower the limit.
 	Adaptive bool
 }
@@ -49,7 +51,7 @@
 // slots are known: a refusal by the target below them is no sign of overload,
 // and a lower limit would add to the harm of a target that refuses at random.
 func Sidecar() Rules {
-	return Rules{Order: queue.ByRank{}, Levels: true}
+	return Rules{Order: queue.ByRank{}, Levels: true, KeepBusy: true}
 }
 
 // Request is one request offered to the gate.
@@ -184,10 +186,11 @@
 		g.hold[r.Route] *= holdFade
 		return Refuse{Reason: failure.Deadline}, Moves{}
 	}
-	if g.rules.Levels && !g.level.Cut().Admits(r.Score, r.Depth) && !g.lessImportantWaits(r.Score) {
+	idle := len(g.running) < g.limit.Value() && g.queue.Len() == 0
+	if g.rules.Levels && !g.level.Cut().Admits(r.Score, r.Depth) && !g.lessImportantWaits(r.Score) && !(g.rules.KeepBusy && idle) {
 		return Refuse{Reason: failure.Overload, After: g.ComeBack()}, Moves{}
 	}
-	if len(g.running) < g.limit.Value() && g.queue.Len() == 0 {
+	if idle {
 		g.start(now, r)
 		return Start{}, Moves{}
 	}
--- a/internal/policy/gate/gate_test.go
+++ b/internal/policy/gate/gate_test.go
@@ -233,3 +233,36 @@
 	}
 	is.True(admitted)
 }
+
+// A free slot that nobody waits for is not withheld by a cut that is still low.
+func TestFreeSlotWithheld(t *testing.T) {
+	is := is.New(t)
+	g := gate.New(gate.Sidecar())
+	g.SetSlots(start, 2)
+	now, id := start, uint64(0)
+	late := start.Add(time.Hour)
+	var running []uint64
+	for range 100 {
+		now = now.Add(level.Tick)
+		for range 20 {
+			id++
+			if verdict, _ := g.Offer(now, request(id, manifest.High, float64(id%97), late)); verdict == (gate.Start{}) {
+				running = append(running, id)
+			}
+		}
+		if len(running) > 0 {
+			moves := g.Done(now, running[0], gate.Answered)
+			running = append(running[1:], moves.Started...)
+		}
+		g.Tick(now)
+	}
+	is.True(!g.Cut().Admits(priority.New(manifest.Low, 1), 1))
+	for i := range id {
+		g.Cancel(i + 1)
+	}
+	for _, r := range running {
+		g.Done(now, r, gate.Answered)
+	}
+	verdict, _ := g.Offer(now, request(id+1, manifest.Low, 1, late))
+	is.Equal(verdict, gate.Start{})
+}
