What a cut lets in is counted in slots, not in requests

What callers saw: where a service serves few long requests and many short ones, the long ones lost more than their part in a shortage. Cause: the cut compared requests a second with the target's capacity in requests a second. While long requests hold the slots that capacity is small, so that the cut stayed low though little work was let in, and one long request counted as one short. Change: arrivals count by the time that their route holds a slot, against the slots. Test: TestFewLongAgainstManyShort replays both in virtual time.

--- a/internal/policy/gate/gate.go
+++ b/internal/policy/gate/gate.go
@@ -136,6 +136,8 @@
 	running map[uint64]running
 	waiting map[uint64]Request
 	hold    map[string]float64
+	// work is the mean time that requests of a route hold a slot, in seconds.
+	work map[string]float64
 
 	tickAt  time.Time
 	busyAt  time.Time
@@ -153,6 +155,7 @@
 		running: map[uint64]running{},
 		waiting: map[uint64]Request{},
 		hold:    map[string]float64{},
+		work:    map[string]float64{},
 	}
 }
 
@@ -181,7 +184,7 @@
 // Offer asks for a slot. Moves tells which waiting requests had to go.
 func (g *Gate) Offer(now time.Time, r Request) (Verdict, Moves) {
 	g.account(now)
-	g.level.Offer(r.root(), r.Depth > 1)
+	g.level.Offer(r.root(), r.Depth > 1, g.work[r.Route])
 	if g.tooLate(now, r.Route, r.Deadline) {
 		g.hold[r.Route] *= holdFade
 		return Refuse{Reason: failure.Deadline}, Moves{}
@@ -308,6 +311,10 @@
 
 func (g *Gate) learnHold(r running, now time.Time) {
 	sample := now.Sub(r.since).Seconds()
+	if _, known := g.work[r.route]; !known {
+		g.work[r.route] = sample
+	}
+	g.work[r.route] += (sample - g.work[r.route]) * holdMemory
 	mean, known := g.hold[r.route]
 	if !known {
 		g.hold[r.route] = sample * holdMemory
--- a/internal/policy/gate/gate_test.go
+++ b/internal/policy/gate/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -234,6 +235,135 @@
 	is.True(admitted)
 }
 
+// replayed is a target's node in virtual time: callers ask it for long requests,
+// and targets of other services make short calls, whose roots were let in elsewhere
+// by what the cut was a while before.
+type replayed struct {
+	gate   *gate.Gate
+	random *rand.Rand
+	id     uint64
+	// ends and givesUp are when running and waiting requests do so.
+	ends, givesUp map[uint64]time.Time
+	holds         map[uint64]time.Duration
+	coming        []arrival
+}
+
+// arrival is a call whose root was let in.
+type arrival struct {
+	at   time.Time
+	root priority.Score
+}
+
+const (
+	longTime  = 600 * time.Millisecond
+	shortTime = 40 * time.Millisecond
+	// rootTime is what a root does before it makes its call.
+	rootTime = 300 * time.Millisecond
+	// replaySlots are the slots of the target.
+	replaySlots = 30
+	step        = 2 * time.Millisecond
+)
+
+func (p *replayed) score() priority.Score { return priority.New(manifest.Low, p.random.Float64()) }
+
+func (p *replayed) started(now time.Time, ids ...uint64) {
+	for _, id := range ids {
+		p.ends[id] = now.Add(p.holds[id])
+		delete(p.givesUp, id)
+	}
+}
+
+// offer asks for a slot, which a waiting request gives up after its patience.
+func (p *replayed) offer(now time.Time, r gate.Request, hold, patience time.Duration) {
+	p.id++
+	r.ID, r.Share, r.Deadline = p.id, 1, now.Add(time.Minute)
+	p.holds[r.ID] = hold
+	verdict, moves := p.gate.Offer(now, r)
+	switch verdict.(type) {
+	case gate.Start:
+		p.started(now, r.ID)
+	case gate.Wait:
+		p.givesUp[r.ID] = now.Add(patience)
+	}
+	p.started(now, moves.Started...)
+	for _, l := range moves.Left {
+		delete(p.givesUp, l.ID)
+	}
+}
+
+func (p *replayed) settle(now time.Time) (long, short float64) {
+	for _, id := range slices.Sorted(maps.Keys(p.ends)) {
+		if now.Before(p.ends[id]) {
+			continue
+		}
+		delete(p.ends, id)
+		if p.holds[id] == longTime {
+			long++
+		} else {
+			short++
+		}
+		p.started(now, p.gate.Done(now, id, gate.Answered).Started...)
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.givesUp)) {
+		if !now.Before(p.givesUp[id]) {
+			delete(p.givesUp, id)
+			p.gate.Cancel(id)
+		}
+	}
+	return long, short
+}
+
+// replay returns the parts of the long and of the short requests that were done, each
+// of which together ask for a number of slots.
+func replay(longSlots, shortSlots float64) (long, short float64) {
+	p := &replayed{
+		gate: gate.New(gate.Sidecar()), random: rand.New(rand.NewPCG(1, 1)),
+		ends: map[uint64]time.Time{}, givesUp: map[uint64]time.Time{}, holds: map[uint64]time.Duration{},
+	}
+	p.gate.SetSlots(start, replaySlots)
+	var askedLong, askedShort, doneLong, doneShort float64
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(step) {
+		l, s := p.settle(now)
+		doneLong, doneShort = doneLong+l, doneShort+s
+		for len(p.coming) > 0 && !now.Before(p.coming[0].at) {
+			p.offer(now, gate.Request{Route: "short", Score: priority.New(manifest.Critical, 0), Root: p.coming[0].root, Depth: 2}, shortTime, 150*time.Millisecond)
+			p.coming = p.coming[1:]
+		}
+		if p.random.Float64() < longSlots*step.Seconds()/longTime.Seconds() {
+			askedLong++
+			p.offer(now, gate.Request{Route: "long", Score: p.score(), Depth: 1}, longTime, 300*time.Millisecond)
+		}
+		for range 2 {
+			if p.random.Float64() < shortSlots*step.Seconds()/shortTime.Seconds()/2 {
+				askedShort++
+				if root := p.score(); p.gate.Cut().Admits(root, 1) {
+					p.coming = append(p.coming, arrival{now.Add(rootTime), root})
+				}
+			}
+		}
+		if now.Sub(start)%level.Tick == 0 {
+			p.gate.Tick(now)
+		}
+	}
+	return doneLong / askedLong, doneShort / askedShort
+}
+
+// Long requests of callers and short calls whose roots are of the same importance,
+// together half as much again as there are slots for: neither loses nearly all, and
+// the slots are used.
+func TestFewLongAgainstManyShort(t *testing.T) {
+	for _, asked := range []struct{ long, short float64 }{{20, 25}, {10, 35}, {30, 15}} {
+		t.Run(fmt.Sprint(asked), func(t *testing.T) {
+			is := is.New(t)
+			long, short := replay(asked.long, asked.short)
+			t.Logf("done: long %.2f, short %.2f", long, short)
+			is.True(long >= 0.24 && short >= 0.24) // the floor of the users' day of this load
+			used := long*asked.long + short*asked.short
+			is.True(used > 0.9*replaySlots)
+		})
+	}
+}
+
 // A free slot that nobody waits for is not withheld by a cut that is still low.
 func TestFreeSlotWithheld(t *testing.T) {
 	is := is.New(t)
--- a/internal/policy/level/level.go
+++ b/internal/policy/level/level.go
@@ -1,11 +1,12 @@
 // Package level decides how far down the order of scores a target's node
 // admits requests, from what its queue and slots show.
 //
-// Each tick compares the rate that may be let in, which is the capacity less
-// what works off the queue, with the rate that is offered below the cut. Too
-// much moves the cut down to where the offered work fits; too little moves it
-// up by a part of the shortage. Capacity follows from slots and holding times
-// whether or not the slots are all in use, so recovery takes about a second and
+// Each tick compares the work that may be let in, which is the slots less what
+// works off the queue, with the work that is offered below the cut. Too much moves
+// the cut down to where the offered work fits; too little moves it up by a part of
+// the shortage. Work is counted in slots, by the time that requests of a route hold
+// one: a few long requests weigh as much as many short ones. Whether or not the
+// slots are all in use makes no difference, so recovery takes about a second and
 // does not wait for callers to stop retrying.
 package level
 
@@ -23,14 +24,14 @@
 	binsPerClass = 256
 	// memory is the time constant of offered work and capacity.
 	memory = 500 * time.Millisecond
-	// recent is the time constant of the rate let in.
+	// recent is the time constant of the work let in.
 	recent = 150 * time.Millisecond
 	// drain is the time in which a queue over its aim is worked off.
 	drain = 500 * time.Millisecond
-	// headroom is how far over the capacity the rate may go while the queue is
-	// under its aim, so that no slot stays idle.
+	// headroom is how far over the slots the work may go while the queue is under its
+	// aim, so that no slot stays idle.
 	headroom = 1.2
-	// leastPart is the part of the capacity that is let in at least.
+	// leastPart is the part of the slots that is let in at least.
 	leastPart = 0.3
 	// gain is the part of a shortage that one tick makes up, of callers' requests.
 	gain = 1
@@ -62,16 +63,23 @@
 	Elapsed time.Duration
 }
 
+// arrival is a request offered since the last tick.
+type arrival struct {
+	score priority.Score
+	// work is how long it would hold a slot, in seconds.
+	work float64
+}
+
 // Level is the cut of one node and what it is computed from. It is not safe
 // for concurrent use.
 type Level struct {
 	cut     priority.Cut
 	offered [priority.Classes * binsPerClass]float64
-	fresh   []priority.Score
+	fresh   []arrival
 	// inner is the part of what is let in that calls of targets make up.
 	inner      float64
 	freshInner int
-	// let is the rate offered below the cut lately, in requests a second.
+	// let is the work offered below the cut lately, in slots.
 	let float64
 	// done and busy are decaying sums of completions and of slot time in use.
 	done float64
@@ -102,9 +110,13 @@
 }
 
 // Offer counts an arrival, admitted or not, by the score of its root. Inner is set
-// for a call of a target, whose root was let in elsewhere.
-func (l *Level) Offer(s priority.Score, inner bool) {
-	l.fresh = append(l.fresh, s)
+// for a call of a target, whose root was let in elsewhere; work is how long it would
+// hold a slot in seconds, 0 if that is not known.
+func (l *Level) Offer(s priority.Score, inner bool, work float64) {
+	if work == 0 && l.done > 0 {
+		work = l.busy / l.done
+	}
+	l.fresh = append(l.fresh, arrival{s, work})
 	if inner {
 		l.freshInner++
 	}
@@ -137,9 +149,9 @@
 // move brings the rate let in towards the rate that may be.
 func (l *Level) move(load Load) {
 	aim := queueAim(load.Slots)
-	capacity := l.Capacity()
-	over := float64(load.Waiting-aim) / drain.Seconds()
-	may := min(max(capacity-over, leastPart*capacity), headroom*capacity)
+	slots := float64(load.Slots)
+	over := float64(load.Waiting-aim) * l.busy / l.done / drain.Seconds()
+	may := min(max(slots-over, leastPart*slots), headroom*slots)
 	switch {
 	case load.Waiting > aim:
 		excess := float64(load.Waiting) / float64(aim)
@@ -171,13 +183,13 @@
 		l.top[class] = max(floor, l.top[class]-topFade*priority.Score(elapsed.Seconds()))
 	}
 	below := 0.0
-	for _, s := range l.fresh {
-		if l.cut.Admits(s, 1) {
-			below++
+	for _, a := range l.fresh {
+		if l.cut.Admits(a.score, 1) {
+			below += a.work
 		}
-		l.offered[bin(s)] += weight
-		class := min(int(s), len(l.top)-1)
-		l.top[class] = max(l.top[class], s)
+		l.offered[bin(a.score)] += weight * a.work
+		class := a.score.Class()
+		l.top[class] = max(l.top[class], a.score)
 	}
 	if n := float64(len(l.fresh)); n > 0 {
 		l.inner += (float64(l.freshInner)/n - l.inner) * (1 - keep)
@@ -200,7 +212,7 @@
 	return priority.Cut(class + 1)
 }
 
-// quantile is the cut below which target requests a second are offered.
+// quantile is the cut below which target slots of work are offered.
 func (l *Level) quantile(target float64) priority.Cut {
 	sum := 0.0
 	for i, rate := range l.offered {
