Answers without end cost bounded memory and fail at once

What callers would see: a target that sends bytes without end, in a head or a body, takes its node down: the heap grew to 3.2 GB with 8 such answers, on VMs of 184 to 536 MB, and every request of that VM with it. Their text went into log lines as well. Cause: heads were read without a bound, interim answers without a number, and bodies each up to 32 MB, as many at once as the target has slots. Change: a head may have 64 KB, 8 interim answers may come before the final one, and the bodies over 64 KB that are being read share an eighth of the memory (33 MB at least). Errors quote 200 bytes at most. The product's own path bounds heads alike. TestCutChunks: a cut body of unknown length never counts as whole, also where it is read in pieces.

--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -54,6 +54,11 @@
 	// runs. A node's heap is a few megabytes: at 50 an eighth of its processor
 	// time went to collecting.
 	collectAt = 100
+	// answersPart divides the memory limit: so much of it large answers may take
+	// while they are read, with as much garbage, and as much again once they are
+	// put together. leastAnswers is room for one of the greatest size, in bytes.
+	answersPart  = 8
+	leastAnswers = 33 << 20
 	// httpTimeout bounds the side listeners' requests.
 	httpTimeout = 3 * time.Second
 )
@@ -103,14 +108,15 @@
 	}
 	n.rates = allowance.New(clock.Now, n.roster, n.config, n.named(allowance.Name))
 	n.roster.Share(allowance.Name, n.rates)
+	answers := httpconn.NewBudget(answersBudget(s))
 	n.guard = guard.New(guard.Options{
-		Address: s.Target, Extra: spare.Terms{Ratio: s.Extra.Ratio, Slack: s.Extra.Slack}, Heard: n.announced,
+		Address: s.Target, Answers: answers, Extra: spare.Terms{Ratio: s.Extra.Ratio, Slack: s.Extra.Slack}, Heard: n.announced,
 		Targets: func(service string) int { return len(n.roster.Serving(clock.Now(), service)) },
 		Below:   func(now time.Time, service, route string) []choice.Below { return n.relay.Below(now, service, route) },
 	}, seams.Dialect, n.set, n.named(guard.Name))
 	n.relay = relay.New(s.Zone, n.terms(s), relay.Parts{
 		Dialect: seams.Dialect, Config: n.config, Roster: n.roster, Allowance: n.rates,
-		Guard: n.guard, Set: n.set, Log: n.named(relay.Name),
+		Guard: n.guard, Answers: answers, Set: n.set, Log: n.named(relay.Name),
 	})
 	if err := n.listen(seams); err != nil {
 		return nil, err
@@ -123,6 +129,11 @@
 	return n, nil
 }
 
+// answersBudget is what large answers may take of the memory, in bytes.
+func answersBudget(s settings.Mesh) int64 {
+	return max(int64(s.Memory)<<20/answersPart, leastAnswers)
+}
+
 func (n *Node) named(service string) *logrus.Entry { return n.log.WithField("component", service) }
 
 func (n *Node) terms(s settings.Mesh) relay.Terms {
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -98,6 +98,8 @@
 	// Below tells what calls on a route to a service meet at its nodes and further
 	// down.
 	Below func(now time.Time, service, route string) []choice.Below
+	// Answers bounds the memory of large answers.
+	Answers *httpconn.Budget
 	// Heard hears of changes of the target.
 	Heard Listener
 }
@@ -114,7 +116,7 @@
 		took:     set.NewHistogram("target_seconds"),
 	}
 	s.pool = httpconn.NewPool(o.Address, httpconn.Options{
-		DialTimeout: dialTimeout, MaxIdle: maxIdle, MaxAnswer: maxAnswer,
+		DialTimeout: dialTimeout, MaxIdle: maxIdle, MaxAnswer: maxAnswer, Budget: o.Answers,
 		Mine: func(r *httpconn.Request, h http.Header) bool {
 			id := d.Reply(http.StatusOK, h).ID
 			return id == "" || id == d.Wish(r.Header).ID
--- a/internal/traffic/httpconn/httpconn_test.go
+++ b/internal/traffic/httpconn/httpconn_test.go
@@ -437,3 +437,42 @@
 	}
 	return open
 }
+
+// A body of unknown length that is cut is an error, whatever its size: only the last
+// chunk ends it.
+func TestCutChunks(t *testing.T) {
+	for _, size := range []int{0, 1, 4 << 10, 64 << 10, 100 << 10} {
+		for _, whole := range []bool{true, false} {
+			t.Run(fmt.Sprint(size, whole), func(t *testing.T) {
+				is := is.New(t)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				t.Cleanup(func() { _ = l.Close() })
+				go func() {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					defer func() { _ = c.Close() }()
+					_, _ = http.ReadRequest(bufio.NewReader(c))
+					text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+					if size > 0 {
+						text += fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size))
+					}
+					if whole {
+						text += "0\r\n\r\n"
+					}
+					_, _ = io.WriteString(c, text)
+				}()
+				p := httpconn.NewPool(l.Addr().String(), httpconn.Options{DialTimeout: time.Second, MaxAnswer: 1 << 20, Budget: httpconn.NewBudget(1 << 20)})
+				ctx, cancel := context.WithTimeout(context.Background(), patience)
+				defer cancel()
+				resp, err := p.Do(ctx, &httpconn.Request{Method: "GET", Target: "/", Host: "h"}, httpconn.Reuse{})
+				is.Equal(err == nil, whole)
+				if whole {
+					is.Equal(len(resp.Body), size)
+				}
+			})
+		}
+	}
+}
--- a/internal/traffic/httpconn/message.go
+++ b/internal/traffic/httpconn/message.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -41,8 +42,11 @@
 	Close bool
 }
 
-// errTooLarge marks a body over its limit.
-var errTooLarge = errors.New("the body is over its limit")
+// errTooLarge marks a head or a body over its limit.
+var errTooLarge = errors.New("the message is over its limit")
+
+// firstPiece is the size of the first buffer for a body of unknown length, in bytes.
+const firstPiece = 4 << 10
 
 // hopHeaders concern one connection only.
 var hopHeaders = []string{
@@ -62,29 +66,63 @@
 	}
 }
 
-// readBody reads a whole body of at most limit bytes.
-func readBody(body io.Reader, length, limit int64) ([]byte, error) {
-	if length > limit {
+// readBody reads a whole body of at most limit bytes, -1 for a length that is not
+// known. What is over freeBody counts against the budget while it is read.
+func readBody(body io.Reader, length, limit int64, budget *Budget) ([]byte, error) {
+	switch {
+	case length > limit:
 		return nil, errTooLarge
-	}
-	if length == 0 {
+	case length == 0:
 		return nil, nil
-	}
-	if length > 0 {
+	case length > 0 && length <= freeBody:
 		data := make([]byte, length)
 		if _, err := io.ReadFull(body, data); err != nil {
 			return nil, fmt.Errorf("read body: %w", err)
 		}
 		return data, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
+	return readPieces(body, length, limit, budget)
+}
+
+// readPieces reads a body that is large or may be. Its memory grows with what has
+// come, whatever length was announced.
+func readPieces(body io.Reader, length, limit int64, budget *Budget) ([]byte, error) {
+	var pieces [][]byte
+	taken, total := int64(0), int64(0)
+	defer func() { budget.give(taken) }()
+	for {
+		size := min(max(total, firstPiece), freeBody, limit+1-total)
+		if total >= freeBody {
+			if !budget.take(size) {
+				return nil, errTooLarge
+			}
+			taken += size
+		}
+		piece := make([]byte, size)
+		n, err := fill(body, piece)
+		pieces, total = append(pieces, piece[:n]), total+int64(n)
+		switch {
+		case total > limit:
+			return nil, errTooLarge
+		case errors.Is(err, io.EOF) && (length < 0 || total == length):
+			return bytes.Join(pieces, nil), nil
+		case errors.Is(err, io.EOF):
+			return nil, fmt.Errorf("read body: %w", io.ErrUnexpectedEOF)
+		case err != nil:
+			return nil, fmt.Errorf("read body: %w", err)
+		}
 	}
-	if int64(len(data)) > limit {
-		return nil, errTooLarge
+}
+
+// fill reads until a piece is full. Unlike io.ReadFull it leaves the end of the body
+// apart from one that came too early.
+func fill(body io.Reader, piece []byte) (n int, err error) {
+	for n < len(piece) && err == nil {
+		var more int
+		more, err = body.Read(piece[n:])
+		n += more
 	}
-	return data, nil
+	return n, err
 }
 
 // writeRequest writes a request with the length of its body.
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -24,6 +24,15 @@
 	idleMargin = 0.6
 	// defaultIdle is the idle time of ends that don't tell theirs.
 	defaultIdle = 8 * time.Second
+	// maxHead bounds the head of an answer, in bytes: four times what callers' heads
+	// may have on the users' platform.
+	maxHead = 64 << 10
+	// unlimited is the limit while a body is read, which has one of its own.
+	unlimited = 1 << 62
+	// interim bounds the answers with a status below 200 before a final one.
+	interim = 8
+	// maxText bounds what an error quotes of an answer, in bytes.
+	maxText = 200
 	// foreign bounds the number of answers to earlier requests that are skipped.
 	foreign = 3
 	// forgottenRest and forgottenTime tell a connection that the other end has
@@ -47,6 +56,9 @@
 	MaxIdle int
 	// MaxAnswer bounds an answer's body, in bytes.
 	MaxAnswer int64
+	// Budget bounds the large bodies that are read at the same time; nil is no
+	// bound.
+	Budget *Budget
 	// Mine reports whether an answer belongs to a request; nil takes all.
 	Mine func(req *Request, h http.Header) bool
 }
@@ -77,6 +89,7 @@
 
 type clientConn struct {
 	conn  net.Conn
+	limit *io.LimitedReader
 	in    *bufio.Reader
 	out   *bufio.Writer
 	until time.Time
@@ -241,8 +254,9 @@
 		return nil, fmt.Errorf("connect to %s: %w: %w", p.address, ErrNotSent, err)
 	}
 	tune(conn)
+	limit := &io.LimitedReader{R: conn}
 	return &clientConn{
-		conn: conn, in: bufio.NewReaderSize(conn, bufferSize), out: bufio.NewWriterSize(conn, bufferSize),
+		conn: conn, limit: limit, in: bufio.NewReaderSize(limit, bufferSize), out: bufio.NewWriterSize(conn, bufferSize),
 	}, nil
 }
 
@@ -288,15 +302,20 @@
 // readAnswer reads one final answer, passing over interim ones.
 func (c *clientConn) readAnswer(method string, o Options) (*Response, bool, error) {
 	stub := &http.Request{Method: method}
-	for {
+	for range interim {
+		c.limit.N = maxHead
 		resp, err := http.ReadResponse(c.in, stub)
-		if err != nil {
-			return nil, false, fmt.Errorf("read answer: %w", err)
+		switch {
+		case err != nil && c.limit.N <= 0:
+			return nil, false, fmt.Errorf("read answer: %w", errTooLarge)
+		case err != nil:
+			return nil, false, fmt.Errorf("read answer: %w", brief(err))
 		}
+		c.limit.N = unlimited
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		body, err := readBody(resp.Body, resp.ContentLength, o.MaxAnswer)
+		body, err := readBody(resp.Body, resp.ContentLength, o.MaxAnswer, o.Budget)
 		if err != nil {
 			return nil, false, err
 		}
@@ -304,6 +323,15 @@
 		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, framed && !resp.Close, nil
 	}
+	return nil, false, errors.New("interim answers without a final one")
+}
+
+// brief shortens an error that quotes what was read.
+func brief(err error) error {
+	if text := err.Error(); len(text) > maxText {
+		return errors.New(text[:maxText])
+	}
+	return err
 }
 
 // idleTime is how long the other end keeps an idle connection open.
--- a/internal/traffic/httpconn/server.go
+++ b/internal/traffic/httpconn/server.go
@@ -308,12 +308,12 @@
 	if req.Body == http.NoBody || req.ContentLength == 0 {
 		return r, nil, nil
 	}
-	c.limit.N = 1 << 62
+	c.limit.N = unlimited
 	if req.Header.Get("Expect") != "" {
 		c.sayContinue()
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	r.Body, err = readBody(req.Body, req.ContentLength, limits.Body)
+	r.Body, err = readBody(req.Body, req.ContentLength, limits.Body, nil)
 	if errors.Is(err, errTooLarge) {
 		return r, &Response{Status: http.StatusRequestEntityTooLarge}, err
 	}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -86,8 +86,10 @@
 	Roster    *roster.Service
 	Allowance *allowance.Service
 	Guard     *guard.Service
-	Set       *metrics.Set
-	Log       *logrus.Entry
+	// Answers bounds the memory of large answers.
+	Answers *httpconn.Budget
+	Set     *metrics.Set
+	Log     *logrus.Entry
 }
 
 // Service answers callers.
--- a/internal/traffic/serve/target.go
+++ b/internal/traffic/serve/target.go
@@ -22,6 +22,8 @@
 	announceLife = 3 * time.Second
 	// targetDial bounds the opening of a connection to the target.
 	targetDial = 500 * time.Millisecond
+	// maxHead bounds the head of an answer, in bytes.
+	maxHead = 64 << 10
 )
 
 // Announcement is what a target tells its node about itself, every second or
@@ -78,6 +80,8 @@
 		IdleConnTimeout:     30 * time.Second,
 		DisableKeepAlives:   !a.Echo,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHead,
 	}}
 }
 
