The time for a probe's answer follows what answers take

Cause: an answer has 1.2 s, whatever answers take. Where they take longer, since the fleet lacks processor time, everybody is doubted, each doubt is told to many and refuted, and that work keeps the answers slow. Change: a doubt waits for twice the time of the slowest answer of late, 10 s at most. When a node takes itself to be cut off is unchanged. Test processes have blocks of ports now. Test: TestSlowAnswersDoubtedForEver.

--- a/internal/fleet/liveness/liveness.go
+++ b/internal/fleet/liveness/liveness.go
@@ -6,12 +6,22 @@
 // size of the fleet, so that somebody probes each member several times a second.
 package liveness
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// doubtAfter is how long a probed member may give no sign of life before it
 	// is doubted: a slow VM or a full link answers within a second.
 	doubtAfter = 1200 * time.Millisecond
+	// doubtTrips is how many times as long as the slowest answer of late that is at
+	// least, and doubtMost the most that it grows to: where this node or the whole
+	// fleet lacks processor time, answers that are late prove nothing.
+	doubtTrips = 2
+	doubtMost  = 10 * time.Second
+	// tripFade is the time constant with which the slowest answer is forgotten.
+	tripFade = 10 * time.Second
 	// doubtProbes is the least number of unanswered probes for a doubt, since
 	// datagrams are lost one by one.
 	doubtProbes = 3
@@ -39,6 +49,9 @@
 	signs map[string]*sign
 	heard time.Time
 	sent  int
+	// slowest is the time that the slowest answer took, as of tripAt.
+	slowest time.Duration
+	tripAt  time.Time
 }
 
 // New returns a watch that has heard of nobody.
@@ -76,6 +89,22 @@
 	g.heard, g.probes, g.doubted = now, 0, false
 }
 
+// Answered notes how long the answer to a probe took.
+func (w *Watch) Answered(now time.Time, took time.Duration) {
+	w.slowest, w.tripAt = max(w.trip(now), took), now
+}
+
+// trip is the time of the slowest answer, less what is forgotten of it.
+func (w *Watch) trip(now time.Time) time.Duration {
+	past := max(0, now.Sub(w.tripAt))
+	return time.Duration(float64(w.slowest) * math.Exp(-past.Seconds()/tripFade.Seconds()))
+}
+
+// patience is how long a member may give no sign of life.
+func (w *Watch) patience(now time.Time) time.Duration {
+	return min(max(doubtAfter, doubtTrips*w.trip(now)), doubtMost)
+}
+
 // Unanswered lists the members whose latest probe has no answer yet and which
 // are not doubted; they are probed again before others.
 func (w *Watch) Unanswered() []string {
@@ -95,8 +124,9 @@
 		return nil
 	}
 	var ids []string
+	patience := w.patience(now)
 	for id, g := range w.signs {
-		if !g.doubted && g.probes >= doubtProbes && now.Sub(g.asked) >= doubtAfter {
+		if !g.doubted && g.probes >= doubtProbes && now.Sub(g.asked) >= patience {
 			g.doubted = true
 			ids = append(ids, id)
 		}
--- a/internal/fleet/liveness/liveness_test.go
+++ b/internal/fleet/liveness/liveness_test.go
@@ -111,3 +111,43 @@
 	is.Equal(w.Doubts(at(9010)), nil)
 	is.Equal(w.Unanswered(), nil)
 }
+
+// Answers that all take two seconds, since nobody has processor time, raise no doubts
+// for ever: the time for an answer follows what answers take.
+func TestSlowAnswersDoubtedForEver(t *testing.T) {
+	is := is.New(t)
+	w := liveness.New(start)
+	const slow = 2000
+	doubts, late := 0, 0
+	for ms := 0; ms < 30_000; ms += 50 {
+		if ms%250 == 0 {
+			w.Probed(at(ms), "a")
+			w.Probed(at(ms), "b")
+		}
+		if ms >= slow && ms%250 == 0 {
+			for _, id := range []string{"a", "b"} {
+				w.Heard(at(ms), id)
+				w.Answered(at(ms), slow*time.Millisecond)
+			}
+		}
+		n := len(w.Doubts(at(ms)))
+		doubts += n
+		if ms > 10_000 {
+			late += n
+		}
+	}
+	is.Equal(late, 0)
+	// A member that dies is still missed, later; others answer quickly again.
+	for ms := 30_000; ms < 90_000; ms += 250 {
+		w.Probed(at(ms), "a")
+		w.Probed(at(ms), "b")
+		w.Heard(at(ms+1), "b")
+		w.Answered(at(ms+1), time.Millisecond)
+		for _, id := range w.Doubts(at(ms + 2)) {
+			is.Equal(id, "a")
+			is.True(ms < 36_000)
+			return
+		}
+	}
+	t.Fatal("never missed")
+}
--- a/internal/fleet/roster/exchange.go
+++ b/internal/fleet/roster/exchange.go
@@ -273,6 +273,9 @@
 		}).Info("member changed")
 	}
 	s.watch.Heard(now, p.From)
+	if p.Echo != 0 {
+		s.watch.Answered(now, now.Sub(time.Unix(0, p.Echo)))
+	}
 	return fresh
 }
 
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,12 +99,30 @@
 	stop func()
 }
 
+// Ports lie below the range that outgoing sockets use, so that none of those takes
+// one before its owner listens; each test process has a block of its own.
+const (
+	firstPort  = 10000
+	portBlocks = 20
+	blockPorts = 250
+)
+
+var nextPort atomic.Int64
+
 func address(t *testing.T) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { _ = c.Close() }()
-	return c.LocalAddr().String()
+	for range blockPorts {
+		block := firstPort + os.Getpid()%portBlocks*blockPorts
+		at := fmt.Sprintf("127.0.0.1:%d", block+int(nextPort.Add(1))%blockPorts)
+		c, err := net.ListenPacket("udp", at)
+		if err != nil {
+			continue
+		}
+		_ = c.Close()
+		return at
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 func start(t *testing.T, d *directory, name, zone, at string) running {
