A late heartbeat does not bring back a target that left before it was known

Cause: at 32.60 s the target's node had started anew; at 33.12 s the target signed off, the first that this process heard of it, without a start. The process noted a leave of start 0. At 35.43 s a heartbeat from before came late, its start was later than 0, and so it counted as a new start under the same ID. Evidence: log lines 'target changed' of toluca-1 (absent to gone with born 0 at 33.17, gone to ready with sequence 27 at 35.43). Ruled out: a leave forgotten over a restart; the process that acknowledged it is the one that went on sending. Change: a leave without a start is final for starts up to when it was heard, by the VM's time of day, for 30 s, longer than a heartbeat is late; the first one tells the start. A later start under the ID gets work at once. Test: TestLateHeartbeatAfterUnknownLeave, red before.

--- a/internal/policy/lifecycle/lifecycle.go
+++ b/internal/policy/lifecycle/lifecycle.go
@@ -58,6 +58,20 @@
 	return nil
 }
 
+// lateFor is how long after a leave that names no start an announcement of an earlier
+// start under the same ID is taken for a late one of the target that left: they come
+// seconds late at most.
+const lateFor = 30 * time.Second
+
+// Leave is what a target says when it signs off.
+type Leave struct {
+	ID string
+	// Born is the start of the incarnation; 0 if the target doesn't say.
+	Born int64
+	// Said is when it was heard, by the VM's time of day, which starts are told in.
+	Said time.Time
+}
+
 // Target is the immutable state of the target beside a node. The zero value
 // knows of none.
 type Target struct {
@@ -66,6 +80,8 @@
 	// Since is when the incarnation was first heard, Heard the latest time.
 	Since time.Time
 	Heard time.Time
+	// left is the leave of an incarnation whose start isn't known.
+	left Leave
 }
 
 // Slots is the number of requests that the target takes at once now.
@@ -84,6 +100,11 @@
 // WithAnnouncement returns the state after an announcement heard at now, and
 // whether anything but its age changed.
 func (t Target) WithAnnouncement(now time.Time, a Announcement) (Target, bool) {
+	if t.isLate(now, a) {
+		// Its start is known now, and the leave is final for it.
+		t.Last, t.left = a, Leave{}
+		return t, false
+	}
 	same := t.Is(a.ID, a.Born)
 	switch {
 	case !same && t.State != Absent && a.Born <= t.Last.Born:
@@ -109,13 +130,22 @@
 	return Ready
 }
 
-// WithLeave returns the state after a target signed off at now. Born is 0 when
-// the target doesn't say which incarnation it is.
-func (t Target) WithLeave(now time.Time, id string, born int64) (Target, bool) {
+// isLate reports whether an announcement is of the incarnation that left before its
+// start was known.
+func (t Target) isLate(now time.Time, a Announcement) bool {
+	return t.left.ID != "" && t.left.ID == a.ID && a.Born <= t.left.Said.UnixMilli() && now.Sub(t.Since) <= lateFor
+}
+
+// WithLeave returns the state after a target signed off at now.
+func (t Target) WithLeave(now time.Time, l Leave) (Target, bool) {
 	if t.State == Absent {
-		return Target{Last: Announcement{ID: id, Born: born}, State: Gone, Since: now, Heard: now}, true
+		gone := Target{Last: Announcement{ID: l.ID, Born: l.Born}, State: Gone, Since: now, Heard: now}
+		if l.Born == 0 {
+			gone.left = l
+		}
+		return gone, true
 	}
-	if t.Last.ID != id || (born != 0 && born != t.Last.Born) || t.State == Gone {
+	if t.Last.ID != l.ID || (l.Born != 0 && l.Born != t.Last.Born) || t.State == Gone {
 		return t, false
 	}
 	t.State, t.Heard = Gone, now
--- a/internal/policy/lifecycle/lifecycle_test.go
+++ b/internal/policy/lifecycle/lifecycle_test.go
@@ -18,7 +18,7 @@
 	ready := lifecycle.Target{}
 	ready, _ = ready.WithAnnouncement(start, announced("a", 10, 5, false))
 	leaving, _ := ready.WithAnnouncement(start, announced("a", 10, 6, true))
-	gone, _ := ready.WithLeave(start, "a", 10)
+	gone, _ := ready.WithLeave(start, lifecycle.Leave{ID: "a", Born: 10})
 	for _, test := range []struct {
 		name string
 		from lifecycle.Target
@@ -62,13 +62,13 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			got, _ := test.from.WithLeave(start, test.id, test.born)
+			got, _ := test.from.WithLeave(start, lifecycle.Leave{ID: test.id, Born: test.born})
 			is.Equal(got.State, test.want)
 		})
 	}
 	t.Run("a late announcement does not undo one that came first", func(t *testing.T) {
 		is := is.New(t)
-		left, _ := lifecycle.Target{}.WithLeave(start, "a", 10)
+		left, _ := lifecycle.Target{}.WithLeave(start, lifecycle.Leave{ID: "a", Born: 10})
 		got, _ := left.WithAnnouncement(start, announced("a", 10, 3, false))
 		is.Equal(got.State, lifecycle.Gone)
 		is.Equal(got.Slots(), 0)
@@ -87,3 +87,30 @@
 		is.True(bad.Validate() != nil)
 	}
 }
+
+// A node that has just started hears a target sign off that it does not know, without
+// a start. A late heartbeat from before does not bring that target back; a new start
+// under its ID gets work at once.
+func TestLateHeartbeatAfterUnknownLeave(t *testing.T) {
+	said := time.UnixMilli(5000)
+	left, _ := lifecycle.Target{}.WithLeave(start, lifecycle.Leave{ID: "a", Said: said})
+	for _, test := range []struct {
+		name  string
+		after time.Duration
+		a     lifecycle.Announcement
+		want  lifecycle.State
+	}{
+		{"late heartbeat", 2 * time.Second, announced("a", 4000, 27, false), lifecycle.Gone},
+		{"new start under the same ID", 2 * time.Second, announced("a", 6000, 1, false), lifecycle.Ready},
+		{"another target", 2 * time.Second, announced("b", 4000, 1, false), lifecycle.Ready},
+		{"the time of day was set back before the new start", time.Minute, announced("a", 4000, 1, false), lifecycle.Ready},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			got, _ := left.WithAnnouncement(start.Add(test.after), test.a)
+			is.Equal(got.State, test.want)
+			again, _ := got.WithAnnouncement(start.Add(test.after+time.Hour), announced(test.a.ID, test.a.Born, test.a.Sequence+1, false))
+			is.Equal(again.State, test.want) // nor does a later one
+		})
+	}
+}
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -131,8 +131,8 @@
 }
 
 // SignOff takes the end of the target's work.
-func (s *Service) SignOff(now time.Time, id string, born int64) {
-	s.change(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithLeave(now, id, born) })
+func (s *Service) SignOff(now time.Time, l lifecycle.Leave) {
+	s.change(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithLeave(now, l) })
 }
 
 func (s *Service) change(now time.Time, f func(lifecycle.Target) (lifecycle.Target, bool)) {
