An acknowledged leave binds the node's next process

What callers would see: a target that has said that it leaves gets requests again when its node ends right after the acknowledgement and a heartbeat from before comes late. Cause: what a node has acknowledged lived in its process only (docs/PLATFORM.md listed it as not proved). Peers knew that the target had no slots, not why. Change: a node's record says that its target signed off, with the target's incarnation. Peers keep the records of processes that are gone and answer a process that introduces itself with those of its address. It holds announcements of targets that take work until it has heard from a peer and 200 ms more, 1 s at most, and takes a leave that becomes known later as one that it heard itself. A new start gets work at once. Cost: one field in records of targets that leave, and no call to the store. Where all nodes end within the seconds between leave and late heartbeat, nobody knows: open.

--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -56,6 +56,9 @@
 	// millisecond of its start.
 	Instance string `json:"inst,omitempty"`
 	Born     int64  `json:"born,omitempty"`
+	// SignedOff is set when that incarnation has said that it leaves, which is final
+	// for it, also at the node's next process.
+	SignedOff bool `json:"off,omitempty"`
 	// Datagrams is where the node takes membership datagrams, IP:port.
 	Datagrams string `json:"udp,omitempty"`
 	// Failing is set while the target fails most requests.
@@ -365,6 +368,18 @@
 	return t.Get(t.byAddress[address])
 }
 
+// SignedOff returns the records of an address whose targets have said that they
+// leave, those of nodes that are gone as well.
+func (t *Table) SignedOff(address string) []Record {
+	var found []Record
+	for _, e := range t.entries {
+		if e.record.Address == address && e.record.SignedOff {
+			found = append(found, e.record)
+		}
+	}
+	return found
+}
+
 // Heir follows the heirs of nodes that left to the node that has their tickets
 // now.
 func (t *Table) Heir(id string) (Record, bool) {
--- a/internal/fleet/roster/exchange.go
+++ b/internal/fleet/roster/exchange.go
@@ -219,6 +219,14 @@
 		// A sender that is doubted lives, and refutes that.
 		answer.Records = append(answer.Records, sender)
 	}
+	if slices.ContainsFunc(p.Records, func(r member.Record) bool { return r.ID == p.From }) {
+		// A process that starts anew learns which targets left the ones before it.
+		for _, r := range s.table.SignedOff(sender.Address) {
+			if r.ID != p.From && len(answer.Records) < maxRecords {
+				answer.Records = append(answer.Records, r)
+			}
+		}
+	}
 	if !known || len(p.Records) > 0 {
 		// The sender may not have this node's record yet.
 		answer.Text = s.table.Self().Operators
@@ -273,6 +281,9 @@
 		}).Info("member changed")
 	}
 	s.watch.Heard(now, p.From)
+	if s.met.IsZero() {
+		s.met = now
+	}
 	if p.Echo != 0 {
 		s.watch.Answered(now, now.Sub(time.Unix(0, p.Echo)))
 	}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -113,6 +113,8 @@
 	// listed is the number of nodes that the directory named last.
 	listed int
 	ticked time.Time
+	// began is when this process started, met when it first heard from a peer.
+	began, met time.Time
 
 	sent, received, bytes atomic.Uint64
 }
@@ -132,7 +134,7 @@
 	self.Started = time.Now().UnixNano()
 	return &Service{
 		node: o.Node, directory: d, news: news, log: log, conn: conn, topics: map[string]Topic{},
-		table: member.New(now, self), watch: liveness.New(now), ticked: now,
+		table: member.New(now, self), watch: liveness.New(now), ticked: now, began: now,
 		serving: map[string][]Serving{},
 	}, nil
 }
@@ -155,6 +157,33 @@
 	s.spread(now, []member.Record{r}, "")
 }
 
+const (
+	// metFor is how long after the first word of a peer its answer to this node's
+	// own record is there, several ways between zones; aloneFor is how long a node
+	// waits for a first word: peers probe each address several times a second.
+	metFor   = 200 * time.Millisecond
+	aloneFor = time.Second
+)
+
+// Settled reports whether this process has had the time to hear what peers know of
+// the ones before it.
+func (s *Service) Settled(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	met := !s.met.IsZero() && now.Sub(s.met) >= metFor
+	return met || now.Sub(s.began) >= aloneFor
+}
+
+// TargetLeft reports whether a target of this node has said that it leaves, to this
+// process or one before it.
+func (s *Service) TargetLeft(instance string, born int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.table.SignedOff(s.table.Self().Address), func(r member.Record) bool {
+		return r.Instance == instance && r.Born == born
+	})
+}
+
 // Serving is a member that takes calls for a service.
 type Serving struct {
 	member.Record
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -111,6 +111,8 @@
 	answers := httpconn.NewBudget(answersBudget(s))
 	n.guard = guard.New(guard.Options{
 		Address: s.Target, Answers: answers, Extra: spare.Terms{Ratio: s.Extra.Ratio, Slack: s.Extra.Slack}, Heard: n.announced,
+		Settled: func(now time.Time) bool { return n.roster.Settled(now) },
+		Left:    func(instance string, born int64) bool { return n.roster.TargetLeft(instance, born) },
 		Targets: func(service string) int { return len(n.roster.Serving(clock.Now(), service)) },
 		Below:   func(now time.Time, service, route string) []choice.Below { return n.relay.Below(now, service, route) },
 	}, seams.Dialect, n.set, n.named(guard.Name))
@@ -207,6 +209,7 @@
 	failing := n.guard.Failing()
 	n.roster.Update(clock.Now(), func(r member.Record) member.Record {
 		r.Service, r.Slots, r.Instance, r.Born = t.Last.Service, t.Slots(), t.Last.ID, t.Last.Born
+		r.SignedOff = t.State == lifecycle.Leaving || t.State == lifecycle.Gone
 		r.Failing, r.Leaving = failing, n.draining.Load()
 		return r
 	})
--- a/internal/traffic/guard/guard.go
+++ b/internal/traffic/guard/guard.go
@@ -45,6 +45,9 @@
 	answerGrace = 40 * time.Millisecond
 	// downFor is how long a target whose port refused is left alone.
 	downFor = 300 * time.Millisecond
+	// releaseEvery is the time between looks for what became known of the processes
+	// before.
+	releaseEvery = 100 * time.Millisecond
 	// leaveRetry is when a caller refused for a target that leaves may return.
 	leaveRetry = 100 * time.Millisecond
 )
@@ -75,7 +78,11 @@
 	calls            *lineage.Calls
 	downTil          time.Time
 	closed           bool
-	lastID           atomic.Uint64
+	// held is the latest announcement that waits until the process has settled.
+	held    *lifecycle.Announcement
+	settled func(now time.Time) bool
+	left    func(instance string, born int64) bool
+	lastID  atomic.Uint64
 
 	runs, refusals, losses *metrics.Counter
 	took                   *metrics.Histogram
@@ -98,6 +105,10 @@
 	// Below tells what calls on a route to a service meet at its nodes and further
 	// down.
 	Below func(now time.Time, service, route string) []choice.Below
+	// Settled reports whether this process has had the time to hear of the ones before
+	// it, and Left whether a target said to one of them that it leaves.
+	Settled func(now time.Time) bool
+	Left    func(instance string, born int64) bool
 	// Answers bounds the memory of large answers.
 	Answers *httpconn.Budget
 	// Heard hears of changes of the target.
@@ -108,6 +119,7 @@
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
 		dialect: d, log: log, heard: o.Heard, extra: spare.New(o.Extra), targets: o.Targets, below: o.Below,
+		settled: o.Settled, left: o.Left,
 		intake: intake.New(gate.Sidecar()), waiting: map[uint64]chan step{}, times: hold.New(clock.Now()),
 		calls:    lineage.New(clock.Now()),
 		runs:     set.NewCounter("target_calls_total"),
@@ -125,11 +137,39 @@
 	return s
 }
 
-// Announce takes an announcement of the target.
+// Announce takes an announcement of the target. A process that has just started
+// holds one of a target that takes work: it may come late, after a leave that an
+// earlier process acknowledged.
 func (s *Service) Announce(now time.Time, a lifecycle.Announcement) {
+	if !a.Leaving && !s.settled(now) {
+		s.mu.Lock()
+		s.held = &a
+		s.mu.Unlock()
+		return
+	}
+	if !a.Leaving && s.left(a.ID, a.Born) {
+		a.Leaving = true
+	}
 	s.change(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithAnnouncement(now, a) })
 }
 
+// release takes the announcement that was held, once the process has settled, and
+// ends the work of a target whose leave became known later.
+func (s *Service) release(now time.Time) {
+	s.mu.Lock()
+	held, target := s.held, s.target
+	s.mu.Unlock()
+	if held != nil && s.settled(now) {
+		s.mu.Lock()
+		s.held = nil
+		s.mu.Unlock()
+		s.Announce(now, *held)
+	}
+	if target.State == lifecycle.Ready && s.left(target.Last.ID, target.Last.Born) {
+		s.SignOff(now, lifecycle.Leave{ID: target.Last.ID, Born: target.Last.Born})
+	}
+}
+
 // SignOff takes the end of the target's work.
 func (s *Service) SignOff(now time.Time, l lifecycle.Leave) {
 	s.change(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithLeave(now, l) })
@@ -422,6 +462,7 @@
 		defer s.mu.Unlock()
 		s.intake.Tick(clock.Now())
 	})
+	k.Every(releaseEvery, func(context.Context) { s.release(clock.Now()) })
 	return nil
 }
 
