A connection accepted as a server finishes ends at once

Cause: a connection that is accepted while the idle ones are closed comes into the list after that, and stayed open until all requests had ended. In a planned stop its caller learns late that the node is gone; no request is lost by it. Change: it is closed as the others are.

--- a/internal/traffic/httpconn/server.go
+++ b/internal/traffic/httpconn/server.go
@@ -61,8 +61,10 @@
 	mu       sync.Mutex
 	conns    map[*serverConn]struct{}
 	draining bool
-	busy     atomic.Int64
-	workers  workers
+	// finishing is set once idle connections are closed.
+	finishing bool
+	busy      atomic.Int64
+	workers   workers
 }
 
 // Listen opens a server. Limits is asked for each request.
@@ -149,6 +151,7 @@
 func (s *Server) Close() {
 	_ = s.listener.Close()
 	s.mu.Lock()
+	s.finishing = true
 	for c := range s.conns {
 		_ = c.conn.Close()
 	}
@@ -162,6 +165,7 @@
 func (s *Server) Finish(until time.Time) {
 	_ = s.listener.Close()
 	s.mu.Lock()
+	s.finishing = true
 	for c := range s.conns {
 		c.closeIdle()
 	}
@@ -200,7 +204,12 @@
 	s.mu.Lock()
 	c.draining = s.draining
 	s.conns[c] = struct{}{}
+	finishing := s.finishing
 	s.mu.Unlock()
+	if finishing {
+		// Accepted before the listener closed, and not seen among the idle ones.
+		c.closeIdle()
+	}
 	return c
 }
 
