inbound: log which calls were in flight when a target crashed

Now: a line "target crashed" with the fingerprints of the calls in flight, the fingerprint and the retry flag of each call that did not complete, the number of attempts of each request, and the metrics target_crashes_total and target_resends_total.

--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -5,7 +5,12 @@
 // identifies the one at fault, which is banned from then on.
 package poison
 
-import "time"
+import (
+	"encoding/hex"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// suspectTTL is how long a fingerprint stays a suspect after a crash.
@@ -22,6 +27,18 @@
 // and body.
 type Fingerprint string
 
+// FingerprintOf returns the fingerprint of a request. Target is the path with the
+// query.
+func FingerprintOf(organisation, method, target string, body []byte) Fingerprint {
+	d := xxhash.New()
+	for _, part := range []string{organisation, method, target} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return Fingerprint(hex.EncodeToString(d.Sum(nil)))
+}
+
 // Record is the state of one fingerprint, as gossiped between nodes.
 type Record struct {
 	Fingerprint Fingerprint `json:"print"`
--- a/internal/traffic/entry/check.go
+++ b/internal/traffic/entry/check.go
@@ -2,15 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"strings"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
-	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/traffic/wire"
-	"github.com/cespare/xxhash/v2"
 )
 
 // maxURI is the longest path and query that are accepted, in bytes.
@@ -105,18 +102,6 @@
 	return body, nil
 }
 
-// fingerprintOf hashes the parts that make requests equal. Requests that crash
-// targets are recognised by it.
-func fingerprintOf(organisation, method, target string, body []byte) poison.Fingerprint {
-	d := xxhash.New()
-	for _, part := range []string{organisation, method, target} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(body)
-	return poison.Fingerprint(hex.EncodeToString(d.Sum(nil)))
-}
-
 // hasInternalHeader reports whether the request has a header that only nodes and
 // targets may send.
 func hasInternalHeader(h http.Header) bool {
--- a/internal/traffic/entry/inner.go
+++ b/internal/traffic/entry/inner.go
@@ -7,6 +7,7 @@
 	"chestnutshed.example/chestnutshed/internal/config/manifest"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/overload"
+	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/retry"
 	"chestnutshed.example/chestnutshed/internal/traffic/sender"
 	"chestnutshed.example/chestnutshed/internal/traffic/serve"
@@ -101,7 +102,7 @@
 	if own != "" {
 		return req.Method + " " + req.URL.Path + " " + own
 	}
-	return string(fingerprintOf("", req.Method, req.URL.RequestURI(), body))
+	return string(poison.FingerprintOf("", req.Method, req.URL.RequestURI(), body))
 }
 
 func innerMessage(req *http.Request, parent *serve.Parent, route *manifest.Route, body []byte, lent int) sender.Message {
@@ -123,7 +124,7 @@
 			Depth:            p.Depth + 1,
 			Idempotent:       route.Idempotent,
 			Retries:          lent,
-			Fingerprint:      fingerprintOf(p.Organisation, req.Method, req.URL.RequestURI(), body),
+			Fingerprint:      poison.FingerprintOf(p.Organisation, req.Method, req.URL.RequestURI(), body),
 			MaxResponseBytes: route.MaxResponseBytes,
 		},
 		Header:   wire.Forward(req.Header),
--- a/internal/traffic/entry/root.go
+++ b/internal/traffic/entry/root.go
@@ -11,6 +11,7 @@
 	"chestnutshed.example/chestnutshed/internal/config/active"
 	"chestnutshed.example/chestnutshed/internal/config/manifest"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/rank"
 	"chestnutshed.example/chestnutshed/internal/policy/ticket"
@@ -102,7 +103,7 @@
 	if keyExposed(req, key, r.body) {
 		return refused(failure.New(failure.BadRequest, "the key appears outside the Authorization header"))
 	}
-	fingerprint := fingerprintOf(r.organisation(), req.Method, req.URL.RequestURI(), r.body)
+	fingerprint := poison.FingerprintOf(r.organisation(), req.Method, req.URL.RequestURI(), r.body)
 	if s.Poison.Banned(time.Now(), fingerprint) {
 		return refused(failure.New(failure.Poison, "equal requests have crashed targets"))
 	}
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -76,9 +76,9 @@
 	address string
 	options Options
 
-	mu    sync.Mutex
-	idle  []*clientConn
-	dials uint64
+	mu             sync.Mutex
+	idle           []*clientConn
+	dials, resends uint64
 	// idleCap is the idle time from which connections are not reused. It applies
 	// until idleCapUntil, after a connection that was idle for longer was stale.
 	idleCap      time.Duration
@@ -116,6 +116,13 @@
 	return p.dials
 }
 
+// Resends is the number of requests that were sent again after a stale connection.
+func (p *Pool) Resends() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.resends
+}
+
 // CloseIdle closes all idle connections.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
@@ -149,6 +156,9 @@
 		// sent on the stale connection.
 		return nil, fmt.Errorf("stale connection: %w (new connection failed: %s)", err, dialErr.Error())
 	}
+	p.mu.Lock()
+	p.resends++
+	p.mu.Unlock()
 	return p.exchange(ctx, fresh, r)
 }
 
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -83,6 +83,7 @@
 	serviceTimes      *latency.Estimator
 	runningCalls      *correlation.Tracker
 	ejectedUntil      time.Time
+	crashes           *crashDetector
 	draining          bool
 	// pending is the latest announcement received before the process was synced. It
 	// is applied afterwards.
@@ -92,8 +93,8 @@
 	hasLeft   func(instance string, born int64) bool
 	lastID    atomic.Uint64
 
-	sends, refusals, losses *metrics.Counter
-	duration                *metrics.Histogram
+	sends, refusals, losses, crashCount *metrics.Counter
+	duration                            *metrics.Histogram
 }
 
 // decision is the admission decision on a waiting call. The reason is set if the
@@ -131,11 +132,12 @@
 		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), targetCount: o.TargetCount, downstream: o.Downstream,
 		startedAt: clock.Now(), synced: o.Synced, hasLeft: o.HasLeft,
 		overload: overload.New(admission.Sidecar()), waiting: map[uint64]chan decision{}, serviceTimes: latency.New(clock.Now()),
-		runningCalls: correlation.New(clock.Now()),
-		sends:        set.NewCounter("target_calls_total"),
-		refusals:     set.NewCounter("target_refusals_total"),
-		losses:       set.NewCounter("target_losses_total"),
-		duration:     set.NewHistogram("target_seconds"),
+		runningCalls: correlation.New(clock.Now()), crashes: newCrashDetector(o.Address),
+		sends:      set.NewCounter("target_calls_total"),
+		refusals:   set.NewCounter("target_refusals_total"),
+		losses:     set.NewCounter("target_losses_total"),
+		crashCount: set.NewCounter("target_crashes_total"),
+		duration:   set.NewHistogram("target_seconds"),
 	}
 	s.pool = httpconn.NewPool(o.Address, httpconn.Options{
 		DialTimeout: dialTimeout, MaxIdle: maxIdleConns, MaxBody: maxResponse, Budget: o.ResponseBudget,
@@ -144,6 +146,7 @@
 			return id == "" || id == d.ParseRequest(r.Header).ID
 		},
 	})
+	set.NewGauge("target_resends_total", func() float64 { return float64(s.pool.Resends()) })
 	return s
 }
 
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -41,16 +41,22 @@
 	}
 	s.sends.Inc()
 	s.recordStart(began, id, c, deadline)
+	s.crashes.start(id, flight{call: c, request: r, began: began})
 	resp, err := s.pool.Do(ctx, &out, reuse)
 	now := clock.Now()
 	s.recordEnd(began, now, id, c, resp != nil || ctx.Err() != nil)
+	lost := err != nil && ctx.Err() == nil
+	s.crashes.end(now, id, lost && !errors.Is(err, httpconn.ErrNotSent))
+	if lost {
+		s.checkCrash(now)
+	}
 	s.duration.Update(now.Sub(began).Seconds())
 	outcome := s.reserveRetry(c, s.classify(ctx, began, now, id, resp, err))
 	if _, answered := outcome.(call.Answered); !answered {
 		s.losses.Inc()
 		s.log.WithFields(logrus.Fields{
 			"request": c.ID, "route": c.Route, "target": c.Instance, "held_ms": now.Sub(began).Milliseconds(),
-			"outcome": call.Describe(outcome),
+			"outcome": call.Describe(outcome), "retry": c.Retry, "print": fingerprintOf(c, r),
 		}).Info("call did not complete on the target")
 	}
 	return outcome
--- a/internal/traffic/relay/request.go
+++ b/internal/traffic/relay/request.go
@@ -66,7 +66,7 @@
 	}
 	s.duration.Update(duration.Seconds())
 	fields := logrus.Fields{
-		"request": q.info.ID, "ms": duration.Milliseconds(), "config_age_ms": q.configAge.Milliseconds(), "tried": q.tried,
+		"request": q.info.ID, "ms": duration.Milliseconds(), "config_age_ms": q.configAge.Milliseconds(), "tried": q.tried, "attempts": q.attempts,
 	}
 	if q.config != nil {
 		fields["config"] = q.config.Rules.Version
