poison: only runs that began as suspects count towards a ban

Requests that many callers send alike (one path, no body) are refused for a coincidence.

Now the node that sees a crash decides: a ban needs a run that began when its request was a suspect, as the only one of its kind in flight; where several suspects were, a third crash. A ban after two crashes lasts five minutes, after more an hour.

--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -1,12 +1,17 @@
 // Package poison detects requests that crash every target that runs them.
 //
-// Each request in flight when a target crashes becomes a suspect. A suspect
-// that is sent again must not run beside other suspects, so that a second crash
-// identifies the one at fault, which is banned from then on.
+// Each request in flight when a target crashes becomes a suspect. If a suspect that is
+// sent again is in flight at a second crash, it is banned. Where several suspects are,
+// the crash does not tell which one is at fault, and those that are in flight at a
+// third crash are banned. So suspects should run one at a time on a target.
+//
+// Only a run that began when its request was a suspect counts towards a ban: equal
+// requests that innocently ran on two targets at the same time do not.
 package poison
 
 import (
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,12 +20,17 @@
 const (
 	// suspectTTL is how long a fingerprint stays a suspect after a crash.
 	suspectTTL = 10 * time.Minute
-	// banTTL is how long a fingerprint is banned after its last crash.
-	banTTL = time.Hour
+	// firstBan is how long a fingerprint is banned after two crashes. It may be a
+	// coincidence, so the request is tried once more afterwards. banTTL is how long it
+	// is banned after more of them.
+	firstBan = 5 * time.Minute
+	banTTL   = time.Hour
 	// maxFingerprints bounds the table; the oldest are removed first.
 	maxFingerprints = 10000
-	// banThreshold is the number of crashed targets that cause a ban.
-	banThreshold = 2
+	// banThreshold is the number of crashed targets that cause a ban, and
+	// sharedThreshold the number where other suspects were in flight too.
+	banThreshold    = 2
+	sharedThreshold = 3
 )
 
 // Fingerprint identifies equal requests: a hash over organisation, method, path
@@ -39,18 +49,39 @@
 	return Fingerprint(hex.EncodeToString(d.Sum(nil)))
 }
 
-// Record is the state of one fingerprint, as gossiped between nodes.
+// Record is the state of one fingerprint, as exchanged between nodes.
 type Record struct {
 	Fingerprint Fingerprint `json:"print"`
 	// Targets are the crashed targets that had the request in flight.
 	Targets []string `json:"targets"`
 	// Age is the time since the last crash.
 	Age time.Duration `json:"age"`
+	// Banned is set when a node has found the request to be the cause.
+	Banned bool `json:"ban,omitempty"`
+}
+
+// Run is a request in flight.
+type Run struct {
+	Fingerprint Fingerprint
+	// Suspect is set if the request was a suspect when it started.
+	Suspect bool
 }
 
 type entry struct {
 	targets   []string
 	lastCrash time.Time
+	banned    bool
+}
+
+// banEnd returns when a ban ends, zero without one.
+func (e entry) banEnd() time.Time {
+	switch {
+	case !e.banned:
+		return time.Time{}
+	case len(e.targets) > banThreshold:
+		return e.lastCrash.Add(banTTL)
+	}
+	return e.lastCrash.Add(firstBan)
 }
 
 // Table holds suspects and bans. It is not safe for concurrent use.
@@ -61,55 +92,59 @@
 // New returns an empty table.
 func New() *Table { return &Table{entries: map[Fingerprint]entry{}} }
 
-// Crashed records that a target crashed with these requests in flight, and
-// returns the changed records. If suspects are among the requests, only they are
-// recorded: they explain the crash, and it is no evidence against the others.
-func (t *Table) Crashed(now time.Time, target string, inFlight []Fingerprint) []Record {
-	blamed := t.suspectsAmong(now, inFlight)
-	if len(blamed) == 0 {
-		blamed = inFlight
+// Crashed records that a target crashed with these requests in flight, and returns the
+// changed records. If suspects are among the requests, only they are recorded: they
+// explain the crash, and it is no evidence against the others.
+func (t *Table) Crashed(now time.Time, target string, inFlight []Run) []Record {
+	all, suspects := map[Fingerprint]bool{}, map[Fingerprint]bool{}
+	for _, r := range inFlight {
+		all[r.Fingerprint] = true
+		if r.Suspect {
+			suspects[r.Fingerprint] = true
+		}
+	}
+	blamed, threshold := all, 0
+	switch {
+	case len(suspects) == 1:
+		blamed, threshold = suspects, banThreshold
+	case len(suspects) > 1:
+		blamed, threshold = suspects, sharedThreshold
 	}
 	var changed []Record
-	for _, fp := range blamed {
-		if t.add(now, fp, target) {
-			changed = append(changed, t.record(now, fp))
+	for fp := range blamed {
+		if !t.add(now, fp, target) {
+			continue
 		}
+		e := t.entries[fp]
+		e.banned = e.banned || (threshold > 0 && len(e.targets) >= threshold)
+		t.entries[fp] = e
+		changed = append(changed, t.record(now, fp))
 	}
 	t.prune(now)
 	return changed
 }
 
-func (t *Table) suspectsAmong(now time.Time, fingerprints []Fingerprint) []Fingerprint {
-	var found []Fingerprint
-	for _, fp := range fingerprints {
-		if t.Suspect(now, fp) {
-			found = append(found, fp)
-		}
-	}
-	return found
-}
-
-func (t *Table) add(now time.Time, fp Fingerprint, target string) bool {
+func (t *Table) add(at time.Time, fp Fingerprint, target string) bool {
 	e := t.entries[fp]
-	for _, other := range e.targets {
-		if other == target {
-			return false
-		}
+	if slices.Contains(e.targets, target) {
+		return false
+	}
+	e.targets = append(slices.Clone(e.targets), target)
+	if at.After(e.lastCrash) {
+		e.lastCrash = at
 	}
-	e.targets = append(append([]string(nil), e.targets...), target)
-	e.lastCrash = now
 	t.entries[fp] = e
 	return true
 }
 
 func (t *Table) record(now time.Time, fp Fingerprint) Record {
 	e := t.entries[fp]
-	return Record{Fingerprint: fp, Targets: e.targets, Age: now.Sub(e.lastCrash)}
+	return Record{Fingerprint: fp, Targets: e.targets, Age: now.Sub(e.lastCrash), Banned: e.banned}
 }
 
 // Cleared removes a suspect that ran to completion without a crash. A ban stays.
-func (t *Table) Cleared(fp Fingerprint) {
-	if len(t.entries[fp].targets) < banThreshold {
+func (t *Table) Cleared(now time.Time, fp Fingerprint) {
+	if !t.Banned(now, fp) {
 		delete(t.entries, fp)
 	}
 }
@@ -122,6 +157,10 @@
 			changed = true
 		}
 	}
+	if e, ok := t.entries[r.Fingerprint]; ok && r.Banned && !e.banned {
+		e.banned, changed = true, true
+		t.entries[r.Fingerprint] = e
+	}
 	t.prune(now)
 	return changed
 }
@@ -130,13 +169,19 @@
 // not banned.
 func (t *Table) Suspect(now time.Time, fp Fingerprint) bool {
 	e, ok := t.entries[fp]
-	return ok && len(e.targets) < banThreshold && now.Sub(e.lastCrash) < suspectTTL
+	return ok && !t.Banned(now, fp) && now.Sub(e.lastCrash) < suspectTTL
 }
 
 // Banned reports whether requests with a fingerprint are refused.
-func (t *Table) Banned(now time.Time, fp Fingerprint) bool {
+func (t *Table) Banned(now time.Time, fp Fingerprint) bool { return t.BanLeft(now, fp) > 0 }
+
+// BanLeft returns how long a fingerprint is still banned, 0 if it is not.
+func (t *Table) BanLeft(now time.Time, fp Fingerprint) time.Duration {
 	e, ok := t.entries[fp]
-	return ok && len(e.targets) >= banThreshold && now.Sub(e.lastCrash) < banTTL
+	if !ok {
+		return 0
+	}
+	return max(0, e.banEnd().Sub(now))
 }
 
 // Len is the number of fingerprints in the table.
@@ -144,7 +189,7 @@
 
 func (t *Table) prune(now time.Time) {
 	for fp, e := range t.entries {
-		if now.Sub(e.lastCrash) > banTTL {
+		if now.Sub(e.lastCrash) > suspectTTL && !now.Before(e.banEnd()) {
 			delete(t.entries, fp)
 		}
 	}
--- a/internal/standin/experiment/model.go
+++ b/internal/standin/experiment/model.go
@@ -289,11 +289,11 @@
 
 // reportCrash records the requests that were in flight at a crash.
 func (s *sim) reportCrash(v *server) {
-	var prints []poison.Fingerprint
+	var runs []poison.Run
 	for _, w := range v.running {
-		prints = append(prints, w.call.root.fingerprint)
+		runs = append(runs, poison.Run{Fingerprint: w.call.root.fingerprint, Suspect: w.suspect})
 	}
 	if s.variant.Poison {
-		s.poisonTable.Crashed(s.now, v.id+v.readySince.String(), prints)
+		s.poisonTable.Crashed(s.now, v.id+v.readySince.String(), runs)
 	}
 }
--- a/internal/standin/experiment/traffic.go
+++ b/internal/standin/experiment/traffic.go
@@ -424,7 +424,7 @@
 		s.collector.addSlotTime(s.now.Sub(w.started))
 	}
 	if !failed && outcome == admission.Answered && s.variant.Poison {
-		s.poisonTable.Cleared(w.call.root.fingerprint)
+		s.poisonTable.Cleared(s.now, w.call.root.fingerprint)
 	}
 	v.releaseSuspect(w)
 	changes, _ := v.controller.Release(s.now, w.id, outcome, failed)
--- a/internal/traffic/serve/poison.go
+++ b/internal/traffic/serve/poison.go
@@ -40,14 +40,14 @@
 }
 
 // Cleared removes a suspect whose request ran without a crash.
-func (p *Poison) Cleared(fp poison.Fingerprint) {
+func (p *Poison) Cleared(now time.Time, fp poison.Fingerprint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.Cleared(fp)
+	p.table.Cleared(now, fp)
 }
 
 // Crashed records that a target crashed while these requests were in flight.
-func (p *Poison) Crashed(now time.Time, target string, inFlight []poison.Fingerprint) {
+func (p *Poison) Crashed(now time.Time, target string, inFlight []poison.Run) {
 	p.mu.Lock()
 	records := p.table.Crashed(now, target, inFlight)
 	p.mu.Unlock()
--- a/internal/traffic/serve/serve.go
+++ b/internal/traffic/serve/serve.go
@@ -6,7 +6,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -55,7 +57,7 @@
 	lastAnnounced time.Time
 	nextID        uint64
 	waiting       map[uint64]chan *failure.Refusal
-	running       map[uint64]poison.Fingerprint
+	running       map[uint64]poison.Run
 	draining      bool
 
 	succeeded *metrics.Counter
@@ -74,7 +76,7 @@
 		suspectSlot: make(chan struct{}, 1),
 		overload:    overload.New(admission.Standard()),
 		waiting:     map[uint64]chan *failure.Refusal{},
-		running:     map[uint64]poison.Fingerprint{},
+		running:     map[uint64]poison.Run{},
 		succeeded:   set.NewCounter("chestnutshed_target_answers_total"),
 		failed:      set.NewCounter("chestnutshed_target_failures_total"),
 		latency:     set.NewSummary("chestnutshed_target_seconds"),
@@ -277,7 +279,8 @@
 	if s.poison.Banned(time.Now(), call.Fingerprint) {
 		return answer{}, failure.New(failure.Poison, "the request has crashed targets")
 	}
-	if s.poison.Suspect(time.Now(), call.Fingerprint) {
+	suspect := s.poison.Suspect(time.Now(), call.Fingerprint)
+	if suspect {
 		select {
 		case s.suspectSlot <- struct{}{}:
 			defer func() { <-s.suspectSlot }()
@@ -288,7 +291,7 @@
 	if refusal := s.checkTarget(call); refusal != nil {
 		return answer{}, refusal
 	}
-	id, target, refusal := s.admit(ctx, call, deadline)
+	id, target, refusal := s.admit(ctx, call, deadline, suspect)
 	if refusal != nil {
 		return answer{}, refusal
 	}
@@ -310,7 +313,7 @@
 }
 
 // admit waits for a slot of the target.
-func (s *Service) admit(ctx context.Context, call wire.Call, deadline time.Time) (uint64, *client, *failure.Refusal) {
+func (s *Service) admit(ctx context.Context, call wire.Call, deadline time.Time, suspect bool) (uint64, *client, *failure.Refusal) {
 	s.mu.Lock()
 	s.nextID++
 	id := s.nextID
@@ -347,7 +350,7 @@
 			return 0, nil, refusal
 		}
 	}
-	return s.bindTarget(id, call)
+	return s.bindTarget(id, call, suspect)
 }
 
 // cancelWait removes a request from the queue after its caller disconnected or its
@@ -363,7 +366,7 @@
 }
 
 // bindTarget assigns an acquired slot to the current target.
-func (s *Service) bindTarget(id uint64, call wire.Call) (uint64, *client, *failure.Refusal) {
+func (s *Service) bindTarget(id uint64, call wire.Call, suspect bool) (uint64, *client, *failure.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.target == nil {
@@ -371,7 +374,7 @@
 		s.notifyWaiting(changes)
 		return 0, nil, failure.New(failure.NotReady, "the target was removed before the request was sent")
 	}
-	s.running[id] = call.Fingerprint
+	s.running[id] = poison.Run{Fingerprint: call.Fingerprint, Suspect: suspect}
 	return id, s.target, nil
 }
 
@@ -427,7 +430,7 @@
 		s.failed.Inc()
 	} else {
 		s.succeeded.Inc()
-		s.poison.Cleared(call.Fingerprint)
+		s.poison.Cleared(time.Now(), call.Fingerprint)
 	}
 	if healthChanged {
 		s.log.WithField("failing", failing).Warn("target health changed")
@@ -446,10 +449,7 @@
 		s.mu.Unlock()
 		return
 	}
-	var inFlight []poison.Fingerprint
-	for _, p := range s.running {
-		inFlight = append(inFlight, p)
-	}
+	inFlight := slices.Collect(maps.Values(s.running))
 	s.mu.Unlock()
 	s.poison.Crashed(time.Now(), target.announcement.Instance, inFlight)
 	s.removeTarget("its port refuses connections")
