Refuse requests that crash targets at all nodes on the users' platform

Cause: each attempt has its own ID, and only the attempts of one ID were bounded. The table of requests that crash targets (policy/poison) was used on the product's own path only; the path on the platform was built later and never joined to it. Class: a promise kept by one of two paths.

Now the target's node is the witness: when calls lose their connection and the port refuses new ones, the requests in flight are recorded and sent to the other nodes of the service (fleet/quarantine). Suspects run one at a time on a target; one in flight at a second crash is banned, or at a third where others were in flight too. Nodes whose digests of bans differ exchange them with their probes, so lost datagrams and restarts don't matter. An attempt lost in a crash carries the crash with it, since the next target's node may hear of it later than it gets the call. The answer is 503, not run, with the rest of the ban as Retry-After.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -255,6 +255,20 @@
 	return reachable
 }
 
+// ServiceNodes returns the IDs of the other members that are not gone and have a
+// target of a service, whether it takes work or not, or one that is not known yet.
+func (s *Service) ServiceNodes(service string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []string
+	s.table.Each(func(r *member.Record) {
+		if (r.Service == service || r.Service == "") && r.ID != s.table.Self().ID && !r.Gone() {
+			ids = append(ids, r.ID)
+		}
+	})
+	return ids
+}
+
 // Get returns the record of a member.
 func (s *Service) Get(id string) (member.Record, bool) {
 	s.mu.Lock()
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -18,6 +18,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/quota"
 	"chestnutshed.example/chestnutshed/internal/fleet/roster"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
@@ -89,6 +90,7 @@
 	config  *confsync.Service
 	roster  *roster.Service
 	rates   *quota.Service
+	crashes *quarantine.Service
 	inbound *inbound.Service
 	relay   *relay.Service
 	callers *httpconn.Server
@@ -116,9 +118,12 @@
 	}
 	n.rates = quota.New(clock.Now, n.roster, n.config, n.logger(quota.Name))
 	n.roster.AddTopic(quota.Name, n.rates)
+	n.crashes = quarantine.New(clock.Now, n.roster, n.logger(quarantine.Name))
+	n.roster.AddTopic(quarantine.Name, n.crashes)
 	answers := httpconn.NewBudget(responseBudget(s))
 	n.inbound = inbound.New(inbound.Options{
 		Address: s.Target, ResponseBudget: answers, Retries: retrybudget.Limits{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack}, OnChange: n.publishTarget,
+		Quarantine:  n.crashes,
 		Synced:      func(now time.Time) bool { return n.roster.Synced(now) },
 		HasLeft:     func(instance string, born int64) bool { return n.roster.TargetLeft(instance, born) },
 		TargetCount: func(service string) int { return len(n.roster.Serving(clock.Now(), service)) },
@@ -128,12 +133,12 @@
 	}, adapter.Dialect, n.metricSet, n.logger(inbound.Name))
 	n.relay = relay.New(s.Zone, n.relaySettings(s), relay.Deps{
 		Dialect: adapter.Dialect, Config: n.config, Roster: n.roster, Quota: n.rates,
-		Inbound: n.inbound, ResponseBudget: answers, Metrics: n.metricSet, Log: n.logger(relay.Name),
+		Inbound: n.inbound, Quarantine: n.crashes, ResponseBudget: answers, Metrics: n.metricSet, Log: n.logger(relay.Name),
 	})
 	if err := n.listen(adapter); err != nil {
 		return nil, err
 	}
-	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.inbound, n.relay} {
+	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.crashes, n.inbound, n.relay} {
 		if err := n.kernel.Register(service); err != nil {
 			return nil, fmt.Errorf("assemble node: %w", err)
 		}
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -120,7 +120,7 @@
 		t.entries[fp] = e
 		changed = append(changed, t.record(now, fp))
 	}
-	t.prune(now)
+	t.Prune(now)
 	return changed
 }
 
@@ -161,7 +161,7 @@
 		e.banned, changed = true, true
 		t.entries[r.Fingerprint] = e
 	}
-	t.prune(now)
+	t.Prune(now)
 	return changed
 }
 
@@ -187,7 +187,8 @@
 // Len is the number of fingerprints in the table.
 func (t *Table) Len() int { return len(t.entries) }
 
-func (t *Table) prune(now time.Time) {
+// Prune removes expired entries.
+func (t *Table) Prune(now time.Time) {
 	for fp, e := range t.entries {
 		if now.Sub(e.lastCrash) > suspectTTL && !now.Before(e.banEnd()) {
 			delete(t.entries, fp)
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -57,6 +57,8 @@
 	RetryGranted bool `json:"paid,omitempty"`
 	// Last is set when no retry will follow.
 	Last bool `json:"last,omitempty"`
+	// Crash names the crash of the target that the previous attempt was lost in.
+	Crash string `json:"crash,omitempty"`
 	// Forced admits the call although the target seems to fail.
 	Forced bool `json:"forced,omitempty"`
 }
@@ -84,6 +86,15 @@
 	return c
 }
 
+// QueueTimeout is QueueTimeoutMS as a duration.
+func (c Call) QueueTimeout() time.Duration { return time.Duration(c.QueueTimeoutMS) * time.Millisecond }
+
+// WithQueueTimeout returns a copy that may queue for another time, at least 0.
+func (c Call) WithQueueTimeout(d time.Duration) Call {
+	c.QueueTimeoutMS = max(0, d).Milliseconds()
+	return c
+}
+
 // Outcome is the result of a call: Answered, Refused or Lost.
 type Outcome interface{ outcome() }
 
@@ -115,6 +126,8 @@
 	Reason       failure.Reason
 	Err          error
 	RetryGranted RetryGranted
+	// Crash names the crash of the target if the call was lost in one.
+	Crash string
 }
 
 func (Answered) outcome() {}
@@ -166,6 +179,7 @@
 	InnerFailed  bool         `json:"inner,omitempty"`
 	RetryGranted RetryGranted `json:"spare,omitempty"`
 	Detail       string       `json:"detail,omitempty"`
+	Crash        string       `json:"crash,omitempty"`
 }
 
 // encodedDownstream is a balancer.Downstream as JSON between nodes.
@@ -213,7 +227,7 @@
 	case Refused:
 		r.Kind, r.Reason, r.RetryAfter, r.ByTarget, r.RetryGranted = "refused", o.Reason, o.RetryAfter.Milliseconds(), o.ByTarget, o.RetryGranted
 	case Lost:
-		r.Kind, r.Reason, r.RetryGranted = "lost", o.Reason, o.RetryGranted
+		r.Kind, r.Reason, r.RetryGranted, r.Crash = "lost", o.Reason, o.RetryGranted, o.Crash
 		if o.Err != nil {
 			r.Detail = o.Err.Error()
 		}
@@ -250,7 +264,7 @@
 		if r.Detail != "" {
 			err = fmt.Errorf("peer: %s", r.Detail)
 		}
-		return Lost{r.Reason, err, r.RetryGranted}, load, nil
+		return Lost{r.Reason, err, r.RetryGranted, r.Crash}, load, nil
 	}
 	return nil, Load{}, fmt.Errorf("decode result: unknown kind %q", r.Kind)
 }
--- a/internal/traffic/inbound/crash.go
+++ b/internal/traffic/inbound/crash.go
@@ -1,13 +1,16 @@
 package inbound
 
 import (
+	"context"
 	"errors"
 	"net"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
+	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
@@ -31,14 +34,16 @@
 type flight struct {
 	call    call.Call
 	request *httpconn.Request
+	// suspect is set if the request was in flight at an earlier crash.
+	suspect bool
 	began   time.Time
 	// lostAt is when its connection broke; zero while it is running.
 	lostAt time.Time
 }
 
-// fingerprintOf returns the fingerprint of a call's request.
-func fingerprintOf(c call.Call, r *httpconn.Request) poison.Fingerprint {
-	return poison.FingerprintOf(c.Organisation, r.Method, r.Target, r.Body)
+// fingerprint returns the fingerprint of the call's request.
+func (f flight) fingerprint() poison.Fingerprint {
+	return poison.FingerprintOf(f.call.Organisation, f.request.Method, f.request.Target, f.request.Body)
 }
 
 // crashDetector finds out which calls were in flight when the target crashed. It is
@@ -50,9 +55,10 @@
 	running map[uint64]flight
 	// lost are the calls whose connection broke within the crashWindow.
 	lost []flight
-	// crashedAt is when the last crash was noticed. Calls that began before then are
-	// not counted again.
+	// crashedAt is when the last crash was noticed, and crash its name. Calls that began
+	// before then are not counted again.
 	crashedAt time.Time
+	crash     string
 	// checkedAt is when the port last accepted a connection.
 	checkedAt time.Time
 	// recheck is set while another check is scheduled.
@@ -105,25 +111,38 @@
 	return false
 }
 
-// detect returns the calls that were in flight when the target crashed. It returns them
-// once, and nothing if the target runs or no call was in flight.
-func (d *crashDetector) detect(now time.Time) []flight {
+// detect returns the calls that were in flight when the target crashed, and a name for
+// the crash. It returns them once, and nothing if the target runs or no call was in
+// flight.
+func (d *crashDetector) detect(now time.Time, target string) ([]flight, string) {
 	d.mu.Lock()
 	affected := d.affected(now)
 	d.mu.Unlock()
 	if len(affected) == 0 {
-		return nil
+		return nil, ""
 	}
 	refused := portRefused(d.address)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !refused {
 		d.checkedAt = now
-		return nil
+		return nil, ""
+	}
+	if affected = d.affected(now); len(affected) > 0 {
+		// A target can crash again before it has announced its new incarnation.
+		d.crashedAt, d.crash = now, target+"@"+strconv.FormatInt(now.UnixMilli(), 10)
 	}
-	affected = d.affected(now)
-	d.crashedAt = now
-	return affected
+	return affected, d.crash
+}
+
+// crashOf returns the name of the crash that a lost call was in flight at, or "".
+func (d *crashDetector) crashOf(began time.Time) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if began.After(d.crashedAt) {
+		return ""
+	}
+	return d.crash
 }
 
 // affected returns the calls that a crash now would have ended. The mutex must be held.
@@ -163,16 +182,60 @@
 	if target.State != lifecycle.Ready {
 		return // It has left, so its end is no crash.
 	}
-	inFlight := s.crashes.detect(now)
+	inFlight, crash := s.crashes.detect(now, target.Last.ID)
 	if len(inFlight) == 0 {
 		return
 	}
+	s.mu.Lock()
+	s.ejectedUntil = now.Add(ejectionTime)
+	s.mu.Unlock()
 	s.crashCount.Inc()
+	runs := make([]poison.Run, 0, len(inFlight))
 	prints := make([]poison.Fingerprint, 0, len(inFlight))
 	for _, f := range inFlight {
-		prints = append(prints, fingerprintOf(f.call, f.request))
+		run := poison.Run{Fingerprint: f.fingerprint(), Suspect: f.suspect}
+		runs, prints = append(runs, run), append(prints, run.Fingerprint)
 	}
 	s.log.WithFields(logrus.Fields{
-		"target": target.Last.ID, "born": target.Last.Born, "in_flight": len(inFlight), "prints": prints,
+		"target": target.Last.ID, "born": target.Last.Born, "crash": crash, "in_flight": len(inFlight), "prints": prints,
 	}).Warn("target crashed")
+	s.quarantine.Crashed(now, target.Last.Service, crash, runs)
+}
+
+// quarantined refuses a call whose request crashes targets.
+func (s *Service) quarantined(now time.Time, f flight) *call.Refused {
+	if !s.quarantine.Active() {
+		return nil
+	}
+	if left := s.quarantine.BanLeft(now, f.fingerprint()); left > 0 {
+		return &call.Refused{Reason: failure.Poison, RetryAfter: left}
+	}
+	return nil
+}
+
+// isSuspect reports whether a call's request was in flight at a recent crash.
+func (s *Service) isSuspect(now time.Time, f flight) bool {
+	return s.quarantine.Active() && s.quarantine.Suspect(now, f.fingerprint())
+}
+
+// clearSuspect records that a call's request ran to its end.
+func (s *Service) clearSuspect(now time.Time, f flight) {
+	if s.quarantine.Active() {
+		s.quarantine.Cleared(now, f.fingerprint())
+	}
+}
+
+// isolate waits until no other suspect runs on the target, but not longer than maxWait.
+// Suspects that waited longer run beside each other, as most of them are harmless. The
+// caller must call release at the end of the run.
+func (s *Service) isolate(ctx context.Context, maxWait time.Duration) (release func()) {
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	select {
+	case s.suspectSlot <- struct{}{}:
+		return func() { <-s.suspectSlot }
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return func() {}
 }
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -13,6 +13,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/policy/admission"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
@@ -20,6 +21,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/latency"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/overload"
+	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/retrybudget"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
@@ -84,7 +86,11 @@
 	runningCalls      *correlation.Tracker
 	ejectedUntil      time.Time
 	crashes           *crashDetector
-	draining          bool
+	quarantine        *quarantine.Service
+	// suspectSlot holds a token while a suspect of a crash runs, so that another crash
+	// can be attributed to it.
+	suspectSlot chan struct{}
+	draining    bool
 	// pending is the latest announcement received before the process was synced. It
 	// is applied afterwards.
 	pending   *lifecycle.Announcement
@@ -120,6 +126,8 @@
 	// its leave to one of them.
 	Synced  func(now time.Time) bool
 	HasLeft func(instance string, born int64) bool
+	// Quarantine knows the requests that crash targets.
+	Quarantine *quarantine.Service
 	// ResponseBudget bounds the memory used by large responses.
 	ResponseBudget *httpconn.Budget
 	// OnChange is called when the target changes.
@@ -133,6 +141,7 @@
 		startedAt: clock.Now(), synced: o.Synced, hasLeft: o.HasLeft,
 		overload: overload.New(admission.Sidecar()), waiting: map[uint64]chan decision{}, serviceTimes: latency.New(clock.Now()),
 		runningCalls: correlation.New(clock.Now()), crashes: newCrashDetector(o.Address),
+		quarantine: o.Quarantine, suspectSlot: make(chan struct{}, 1),
 		sends:      set.NewCounter("target_calls_total"),
 		refusals:   set.NewCounter("target_refusals_total"),
 		losses:     set.NewCounter("target_losses_total"),
@@ -294,12 +303,27 @@
 func (s *Service) Run(ctx context.Context, now time.Time, c call.Call, r *httpconn.Request) call.Outcome {
 	id := s.lastID.Add(1)
 	deadline := now.Add(c.Remaining())
-	if refused := s.admit(ctx, now, id, c, deadline); refused != nil {
+	f := flight{call: c, request: r}
+	if c.Crash != "" {
+		s.quarantine.Learn(now, poison.Record{Fingerprint: f.fingerprint(), Targets: []string{c.Crash}})
+	}
+	refused := s.quarantined(now, f)
+	if refused == nil && s.isSuspect(now, f) {
+		release := s.isolate(ctx, c.QueueTimeout())
+		defer release()
+		started := clock.Now()
+		f.call = c.WithQueueTimeout(c.QueueTimeout() - started.Sub(now))
+		f.suspect, refused = s.isSuspect(started, f), s.quarantined(started, f)
+	}
+	if refused == nil {
+		refused = s.admit(ctx, clock.Now(), id, f.call, deadline)
+	}
+	if refused != nil {
 		s.refusals.Inc()
 		s.logRefusal(now, c, *refused)
 		return *refused
 	}
-	return s.send(ctx, id, c, r, deadline)
+	return s.send(ctx, id, f, deadline)
 }
 
 // logRefusal logs why a call got no slot, with the admission state.
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -19,8 +19,8 @@
 )
 
 // send sends an admitted call to the target and releases its slot at the end.
-func (s *Service) send(ctx context.Context, id uint64, c call.Call, r *httpconn.Request, deadline time.Time) call.Outcome {
-	began := clock.Now()
+func (s *Service) send(ctx context.Context, id uint64, f flight, deadline time.Time) call.Outcome {
+	c, r, began := f.call, f.request, clock.Now()
 	if ctx.Err() != nil {
 		s.release(began, id, admission.Aborted, false)
 		return call.Refused{Reason: failure.Deadline}
@@ -41,7 +41,8 @@
 	}
 	s.sends.Inc()
 	s.recordStart(began, id, c, deadline)
-	s.crashes.start(id, flight{call: c, request: r, began: began})
+	f.began = began
+	s.crashes.start(id, f)
 	resp, err := s.pool.Do(ctx, &out, reuse)
 	now := clock.Now()
 	s.recordEnd(began, now, id, c, resp != nil || ctx.Err() != nil)
@@ -52,11 +53,13 @@
 	}
 	s.duration.Update(now.Sub(began).Seconds())
 	outcome := s.reserveRetry(c, s.classify(ctx, began, now, id, resp, err))
-	if _, answered := outcome.(call.Answered); !answered {
+	if _, answered := outcome.(call.Answered); answered {
+		s.clearSuspect(now, f)
+	} else {
 		s.losses.Inc()
 		s.log.WithFields(logrus.Fields{
 			"request": c.ID, "route": c.Route, "target": c.Instance, "held_ms": now.Sub(began).Milliseconds(),
-			"outcome": call.Describe(outcome), "retry": c.Retry, "print": fingerprintOf(c, r),
+			"outcome": call.Describe(outcome), "retry": c.Retry, "print": f.fingerprint(),
 		}).Info("call did not complete on the target")
 	}
 	return outcome
@@ -78,7 +81,7 @@
 		return call.Lost{Reason: failure.Deadline, Err: err}
 	case err != nil:
 		s.release(now, id, admission.Aborted, true)
-		return call.Lost{Reason: failure.Lost, Err: err}
+		return call.Lost{Reason: failure.Lost, Err: err, Crash: s.crashes.crashOf(began)}
 	}
 	reply := s.dialect.ParseReply(resp.Status, resp.Header)
 	if reply.NotRun || reply.WrongTarget {
--- a/internal/traffic/relay/place.go
+++ b/internal/traffic/relay/place.go
@@ -80,7 +80,7 @@
 	case call.Refused:
 		return s.evaluateRefusal(ctx, now, q, o)
 	case call.Lost:
-		q.attempts, q.lost, q.retryReserved = q.attempts+1, true, bool(o.RetryGranted)
+		q.attempts, q.lost, q.retryReserved, q.crash = q.attempts+1, true, bool(o.RetryGranted), o.Crash
 		if ctx.Err() != nil || o.Reason == failure.Deadline {
 			return result{errorResponse: s.deadlineError(q)}, false
 		}
@@ -96,6 +96,8 @@
 // evaluateRefusal is evaluate for an attempt that did not run.
 func (s *Service) evaluateRefusal(ctx context.Context, now time.Time, q *request, o call.Refused) (res result, mayRetry bool) {
 	switch {
+	case o.Reason == failure.Poison:
+		// The other nodes of the service would refuse it too.
 	case o.Reason == failure.RetriesExhausted:
 		s.mu.Lock()
 		s.retriesDenied[q.call.Service] = now
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -16,10 +16,12 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/quota"
 	"chestnutshed.example/chestnutshed/internal/fleet/roster"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
 	"chestnutshed.example/chestnutshed/internal/policy/overload"
+	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/rank"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
@@ -91,6 +93,8 @@
 	Roster  *roster.Service
 	Quota   *quota.Service
 	Inbound *inbound.Service
+	// Quarantine knows the requests that crash targets.
+	Quarantine *quarantine.Service
 	// ResponseBudget bounds the memory used by large responses.
 	ResponseBudget *httpconn.Budget
 	Metrics        *metrics.Set
@@ -184,6 +188,9 @@
 	if q.info.Timeout > 0 && q.info.Timeout < q.route.Timeout {
 		q.deadline = q.start.Add(q.info.Timeout)
 	}
+	if errResp := s.quarantined(clock.Now(), q); errResp != nil {
+		return nil, errResp
+	}
 	if q.org != nil {
 		got := s.Quota.Take(ctx, clock.Now(), q.org, q.route.Rank)
 		q.quotaResult = got.String()
@@ -199,6 +206,22 @@
 	return resp, errResp
 }
 
+// quarantined refuses a request that crashes targets.
+func (s *Service) quarantined(now time.Time, q *request) *errorResponse {
+	if !s.Quarantine.Active() {
+		return nil
+	}
+	organisation := ""
+	if q.org != nil {
+		organisation = q.org.Name
+	}
+	q.print = poison.FingerprintOf(organisation, q.in.Method, q.in.Target, q.in.Body)
+	if left := s.Quarantine.BanLeft(now, q.print); left > 0 {
+		return &errorResponse{http.StatusServiceUnavailable, failure.Poison, left}
+	}
+	return nil
+}
+
 // resolve finds the route and organisation of a request, or returns an error response.
 func (s *Service) resolve(q *request) *errorResponse {
 	if q.info.ID == "" {
--- a/internal/traffic/relay/request.go
+++ b/internal/traffic/relay/request.go
@@ -9,6 +9,7 @@
 	"chestnutshed.example/chestnutshed/internal/config/rules"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
+	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"github.com/sirupsen/logrus"
@@ -37,10 +38,15 @@
 	// sameTarget is set if the next attempt goes to the target tried last.
 	sameTarget bool
 	lost       bool
-	outcome    call.Outcome
+	// crash names the crash of a target that the last attempt was lost in.
+	crash   string
+	outcome call.Outcome
 	// retryReserved is set if the last target's node has counted one more attempt in
 	// its retry budget.
 	retryReserved bool
+	// print is the request's fingerprint; empty while no request is suspected to crash
+	// targets.
+	print poison.Fingerprint
 	// fallback is the result if no further attempt is made.
 	fallback result
 }
@@ -82,6 +88,9 @@
 		fields["parent"], fields["parent_route"], fields["parent_known"] = q.parent.ID, q.parent.Route, q.parent.RouteKnown
 		fields["parent_off_ms"] = q.parent.Gap.Milliseconds()
 	}
+	if q.print != "" {
+		fields["print"] = q.print
+	}
 	if q.outcome != nil {
 		fields["last"] = call.Describe(q.outcome)
 	}
