platform, inbound: decode and log what targets say of limits and leaving

Server-Limit takes a decimal number of requests a second; anything else is logged and ignored. Nothing acts on it yet.

--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -287,8 +287,28 @@
 	NotRun bool
 	// WrongTarget is set when another target uses the address now.
 	WrongTarget bool
+	// Leaving is set when the target says that it leaves.
+	Leaving bool
+	Limit   Limit
 }
 
+// Limit is what a response says about the rate of requests that its target takes from
+// all VMs together: NoLimit, NamedLimit or InvalidLimit.
+type Limit interface{ limit() }
+
+// NoLimit means that the target names no limit.
+type NoLimit struct{}
+
+// NamedLimit is a limit in requests per second, at least 0.
+type NamedLimit struct{ PerSecond float64 }
+
+// InvalidLimit is a limit that can't be read.
+type InvalidLimit struct{ Text string }
+
+func (NoLimit) limit()      {}
+func (NamedLimit) limit()   {}
+func (InvalidLimit) limit() {}
+
 // Dialect converts the headers that callers and targets of a platform use.
 type Dialect interface {
 	// ParseRequest decodes the headers of a caller's request.
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -84,9 +84,11 @@
 	running, retrySum float64
 	serviceTimes      *latency.Estimator
 	runningCalls      *correlation.Tracker
-	ejectedUntil      time.Time
-	crashes           *crashDetector
-	quarantine        *quarantine.Service
+	// limit is the rate limit that the target named last.
+	limit        call.Limit
+	ejectedUntil time.Time
+	crashes      *crashDetector
+	quarantine   *quarantine.Service
 	// suspectSlot holds a token while a suspect of a crash runs, so that another crash
 	// can be attributed to it.
 	suspectSlot chan struct{}
@@ -138,7 +140,7 @@
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
 		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), targetCount: o.TargetCount, downstream: o.Downstream,
-		startedAt: clock.Now(), synced: o.Synced, hasLeft: o.HasLeft,
+		limit: call.NoLimit{}, startedAt: clock.Now(), synced: o.Synced, hasLeft: o.HasLeft,
 		overload: overload.New(admission.Sidecar()), waiting: map[uint64]chan decision{}, serviceTimes: latency.New(clock.Now()),
 		runningCalls: correlation.New(clock.Now()), crashes: newCrashDetector(o.Address),
 		quarantine: o.Quarantine, suspectSlot: make(chan struct{}, 1),
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -84,6 +84,7 @@
 		return call.Lost{Reason: failure.Lost, Err: err, Crash: s.crashes.crashOf(began)}
 	}
 	reply := s.dialect.ParseReply(resp.Status, resp.Header)
+	s.recordLimit(reply.Limit)
 	if reply.NotRun || reply.WrongTarget {
 		s.release(now, id, admission.Rejected, true)
 		return call.Refused{Reason: failure.Overload, RetryAfter: unavailableRetryAfter, ByTarget: true}
