inbound: keep the rate that a target names

Cause: nobody read the header; slots were the only bound on what a target gets. Class: an input of the protocol that is passed through and not decided on.

Now the target's node, which all work for it passes, keeps the rate with a token bucket (policy/ratelimit). Load, queue length and cutoff follow the slots that the rate can fill, so that requests go to other targets or are refused at their entry by importance. Entry nodes remember the limit with the target's incarnation and send it with their calls, so that a restarted node keeps it before the first answer. A new incarnation starts without one. An answer without the limit ends it only if its request began after the limit was last named, and then in steps.

--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -13,6 +13,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/limit"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/queue"
+	"chestnutshed.example/chestnutshed/internal/policy/ratelimit"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// because of it. Without it a too high estimate would stay, since a route that
 	// is always refused gets no new samples.
 	holdDecay = 0.99
+	// rateQueueTime bounds the queue of a target with a rate limit: requests that would
+	// wait longer are refused at once.
+	rateQueueTime = 300 * time.Millisecond
 	// minHoldFraction is the fraction of the hold estimate that must remain until
 	// the deadline for a request to start.
 	minHoldFraction = 0.5
@@ -138,8 +142,10 @@
 type Controller struct {
 	options Options
 	limit   limit.Limit
-	queue   *queue.Queue
-	cutoff  *cutoff.Regulator
+	// rate is the limit that the target names on the requests per second.
+	rate   ratelimit.Limit
+	queue  *queue.Queue
+	cutoff *cutoff.Regulator
 
 	running map[uint64]running
 	waiting map[uint64]Request
@@ -176,13 +182,46 @@
 func (c *Controller) SetSlots(now time.Time, slots int) Changes {
 	c.accrueBusy(now)
 	c.limit = c.limit.WithCeiling(slots)
-	c.queue.Resize(max(minQueue, slots*queuePerSlot))
+	c.resizeQueue(now)
 	if slots == 0 {
 		return c.dropAll()
 	}
 	return c.startWaiting(now)
 }
 
+// SetRate changes the limit on the requests per second.
+func (c *Controller) SetRate(now time.Time, rate ratelimit.Limit) {
+	c.rate = rate
+	c.resizeQueue(now)
+}
+
+// Rate is the limit on the requests per second.
+func (c *Controller) Rate() ratelimit.Limit { return c.rate }
+
+func (c *Controller) resizeQueue(now time.Time) {
+	size := max(minQueue, c.limit.Ceiling()*queuePerSlot)
+	if c.rate.Active(now) {
+		size = int(min(float64(size), max(1, c.rate.Rate(now)*rateQueueTime.Seconds())))
+	}
+	c.queue.Resize(size)
+}
+
+// usableSlots is the number of slots that can be in use: with a rate limit, no more than
+// what requests at that rate hold.
+func (c *Controller) usableSlots(now time.Time) int {
+	slots := c.limit.Value()
+	hold := c.cutoff.Hold()
+	if !c.rate.Active(now) || hold == 0 {
+		return slots
+	}
+	return int(min(float64(slots), max(1, math.Ceil(c.rate.Rate(now)*hold))))
+}
+
+// mayStart reports whether a slot is free and the rate limit allows a request.
+func (c *Controller) mayStart(now time.Time) bool {
+	return len(c.running) < c.limit.Value() && c.rate.Allows(now)
+}
+
 // dropAll drops all waiting requests as not ready, so that callers try another
 // target.
 func (c *Controller) dropAll() Changes {
@@ -203,7 +242,7 @@
 		c.holdEstimate[r.Route] *= holdDecay
 		return Refuse{Reason: failure.Deadline}, Changes{}
 	}
-	idle := len(c.running) < c.limit.Value() && c.queue.Len() == 0
+	idle := c.mayStart(now) && c.queue.Len() == 0
 	if c.options.Shedding && !c.cutoff.Cutoff().Admits(r.Score, r.Depth) && !c.lessImportantWaits(r.Score) && !(c.options.WorkConserving && idle) {
 		return Refuse{Reason: failure.Overload, Backoff: c.RetryAfter()}, Changes{}
 	}
@@ -273,12 +312,13 @@
 
 func (c *Controller) start(now time.Time, r Request) {
 	c.running[r.ID] = running{route: r.Route, since: now}
+	c.rate = c.rate.WithSent(now)
 }
 
 // startWaiting gives free slots to waiting requests.
 func (c *Controller) startWaiting(now time.Time) Changes {
 	var changes Changes
-	for len(c.running) < c.limit.Value() {
+	for c.mayStart(now) {
 		next, ok, expired := c.queue.Pop(now)
 		for _, e := range expired {
 			delete(c.waiting, e.ID)
@@ -359,15 +399,17 @@
 	return c.queue.Remove(id)
 }
 
-// Tick updates the cutoff. It must be called every cutoff.Tick.
-func (c *Controller) Tick(now time.Time) {
+// Tick updates the cutoff, and starts waiting requests that the rate limit allows now. It
+// must be called every cutoff.Tick.
+func (c *Controller) Tick(now time.Time) Changes {
 	c.accrueBusy(now)
+	c.resizeQueue(now)
 	elapsed := now.Sub(c.lastTick)
 	if c.lastTick.IsZero() {
 		elapsed = cutoff.Tick
 	}
 	c.lastTick = now
-	slots := c.limit.Value()
+	slots := c.usableSlots(now)
 	c.cutoff.Update(cutoff.Sample{
 		Waiting:  c.queue.Len(),
 		Slots:    slots,
@@ -376,6 +418,7 @@
 		Elapsed:  elapsed,
 	})
 	c.released, c.busyTime = 0, 0
+	return c.startWaiting(now)
 }
 
 // accrueBusy adds the slot time used since the last call.
@@ -394,9 +437,9 @@
 	return c.cutoff.Cutoff()
 }
 
-// Load is the number of running and waiting requests over the limit.
-func (c *Controller) Load() float64 {
-	return float64(len(c.running)+c.queue.Len()) / math.Max(1, float64(c.limit.Value()))
+// Load is the number of running and waiting requests over the slots that can be in use.
+func (c *Controller) Load(now time.Time) float64 {
+	return float64(len(c.running)+c.queue.Len()) / math.Max(1, float64(c.usableSlots(now)))
 }
 
 // State is a snapshot for the state dump.
@@ -407,6 +450,8 @@
 	Slots    int     `json:"slots"`
 	Cutoff   float64 `json:"cut"`
 	Capacity float64 `json:"capacity"`
+	// Rate is the limit that the target names on the requests per second, 0 for none.
+	Rate float64 `json:"rate,omitempty"`
 }
 
 // State returns a snapshot.
@@ -418,5 +463,6 @@
 		Slots:    c.limit.Ceiling(),
 		Cutoff:   float64(c.Cutoff()),
 		Capacity: c.cutoff.Capacity(),
+		Rate:     c.rate.Named(),
 	}
 }
--- a/internal/policy/cutoff/cutoff.go
+++ b/internal/policy/cutoff/cutoff.go
@@ -114,6 +114,15 @@
 	return float64(r.slots) * r.released / r.busy
 }
 
+// Hold is the mean time that a request holds a slot, in seconds; 0 if no request finished
+// lately.
+func (r *Regulator) Hold() float64 {
+	if r.released < 1e-9 {
+		return 0
+	}
+	return r.busy / r.released
+}
+
 // Offer counts an arrival, admitted or not, by the score of its root
 // request. Inner is set for a call made by a target, whose root was admitted at
 // another node. Hold is the expected time that it holds a slot in seconds, 0 if
--- a/internal/policy/overload/overload.go
+++ b/internal/policy/overload/overload.go
@@ -13,6 +13,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
 	"chestnutshed.example/chestnutshed/internal/policy/health"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
+	"chestnutshed.example/chestnutshed/internal/policy/ratelimit"
 )
 
 const (
@@ -138,11 +139,18 @@
 // Cancel removes a waiting request. It reports whether the request was waiting.
 func (c *Controller) Cancel(id uint64) bool { return c.admission.Cancel(id) }
 
-// Tick adjusts the cutoff. It must be called every cutoff.Tick.
-func (c *Controller) Tick(now time.Time) { c.admission.Tick(now) }
+// Tick adjusts the cutoff and starts waiting requests. It must be called every
+// cutoff.Tick.
+func (c *Controller) Tick(now time.Time) admission.Changes { return c.admission.Tick(now) }
 
-// Load is the number of running and waiting requests divided by the limit.
-func (c *Controller) Load() float64 { return c.admission.Load() }
+// SetRate sets the limit that the target names on the requests per second.
+func (c *Controller) SetRate(now time.Time, rate ratelimit.Limit) { c.admission.SetRate(now, rate) }
+
+// Rate is the limit that the target names on the requests per second.
+func (c *Controller) Rate() ratelimit.Limit { return c.admission.Rate() }
+
+// Load is the number of running and waiting requests divided by the usable slots.
+func (c *Controller) Load(now time.Time) float64 { return c.admission.Load(now) }
 
 // Failing reports whether the target fails most requests.
 func (c *Controller) Failing() bool { return c.health.Failing() }
--- a/internal/standin/experiment/model.go
+++ b/internal/standin/experiment/model.go
@@ -205,7 +205,7 @@
 	var tick func()
 	tick = func() {
 		for _, v := range s.all {
-			v.controller.Tick(s.now)
+			v.apply(v.controller.Tick(s.now))
 		}
 		s.schedule(cutoff.Tick, tick)
 	}
--- a/internal/standin/experiment/traffic.go
+++ b/internal/standin/experiment/traffic.go
@@ -213,7 +213,7 @@
 		s.schedule(delay, func() {
 			from.balancer.Answered(s.now, to.id, balancer.Report{
 				Route:      c.route(),
-				Load:       to.controller.Load(),
+				Load:       to.controller.Load(s.now),
 				Cutoff:     to.controller.Cutoff(),
 				Downstream: to.controller.Downstream(s.now, c.route(), to.downstream),
 			})
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -59,6 +59,9 @@
 	Last bool `json:"last,omitempty"`
 	// Crash names the crash of the target that the previous attempt was lost in.
 	Crash string `json:"crash,omitempty"`
+	// TargetRate is the rate limit that the target named when it last answered the
+	// sending node, in requests per second; 0 for none.
+	TargetRate float64 `json:"rate,omitempty"`
 	// Forced admits the call although the target seems to fail.
 	Forced bool `json:"forced,omitempty"`
 }
@@ -143,6 +146,9 @@
 	// ServiceTime is the mean time that a call of the route takes a slot, in
 	// seconds.
 	ServiceTime float64
+	// TargetRate is the rate limit that the target names, in requests per second; 0 for
+	// none.
+	TargetRate float64
 	// Downstream is the known cutoffs that inner calls of the route meet at other
 	// services.
 	Downstream []balancer.Downstream
@@ -169,6 +175,7 @@
 	Load        int64               `json:"load,omitempty"`
 	Cutoff      int64               `json:"cut"`
 	ServiceTime int64               `json:"hold,omitempty"`
+	TargetRate  float64             `json:"rate,omitempty"`
 	Downstream  []encodedDownstream `json:"below,omitempty"`
 	// Kind is "whole", "refused" or "lost".
 	Kind   string         `json:"kind"`
@@ -215,6 +222,7 @@
 func Encode(o Outcome, load Load) (*httpconn.Response, error) {
 	r := encodedResult{
 		Load: int64(load.Load * fractionFactor), Cutoff: int64(load.Cutoff * scoreFactor), ServiceTime: int64(load.ServiceTime * serviceTimeFactor),
+		TargetRate: load.TargetRate,
 	}
 	for _, b := range load.Downstream {
 		r.Downstream = append(r.Downstream, encodedDownstream{b.Service, int64(b.Cutoff * scoreFactor)})
@@ -250,6 +258,7 @@
 	resp.Header.Del(resultHeader)
 	load := Load{
 		Load: float64(r.Load) / fractionFactor, Cutoff: priority.Cutoff(r.Cutoff) / scoreFactor, ServiceTime: float64(r.ServiceTime) / serviceTimeFactor,
+		TargetRate: r.TargetRate,
 	}
 	for _, b := range r.Downstream {
 		load.Downstream = append(load.Downstream, balancer.Downstream{Service: b.Service, Cutoff: priority.Cutoff(b.Cutoff) / scoreFactor})
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -23,6 +23,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/overload"
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
+	"chestnutshed.example/chestnutshed/internal/policy/ratelimit"
 	"chestnutshed.example/chestnutshed/internal/policy/retrybudget"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
@@ -84,11 +85,10 @@
 	running, retrySum float64
 	serviceTimes      *latency.Estimator
 	runningCalls      *correlation.Tracker
-	// limit is the rate limit that the target named last.
-	limit        call.Limit
-	ejectedUntil time.Time
-	crashes      *crashDetector
-	quarantine   *quarantine.Service
+	rate              namedRate
+	ejectedUntil      time.Time
+	crashes           *crashDetector
+	quarantine        *quarantine.Service
 	// suspectSlot holds a token while a suspect of a crash runs, so that another crash
 	// can be attributed to it.
 	suspectSlot chan struct{}
@@ -140,7 +140,7 @@
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
 		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), targetCount: o.TargetCount, downstream: o.Downstream,
-		limit: call.NoLimit{}, startedAt: clock.Now(), synced: o.Synced, hasLeft: o.HasLeft,
+		startedAt: clock.Now(), synced: o.Synced, hasLeft: o.HasLeft,
 		overload: overload.New(admission.Sidecar()), waiting: map[uint64]chan decision{}, serviceTimes: latency.New(clock.Now()),
 		runningCalls: correlation.New(clock.Now()), crashes: newCrashDetector(o.Address),
 		quarantine: o.Quarantine, suspectSlot: make(chan struct{}, 1),
@@ -211,6 +211,8 @@
 	if changed {
 		if !next.Is(before.Last.ID, before.Last.Born) {
 			s.overload.ResetHealth()
+			s.overload.SetRate(now, ratelimit.Limit{})
+			s.rate = namedRate{}
 			s.ejectedUntil = time.Time{}
 			s.serviceTimes.Reset()
 		}
@@ -269,7 +271,7 @@
 		cut = priority.AdmitNone
 	}
 	return call.Load{
-		Load: s.overload.Load(), Cutoff: cut, ServiceTime: s.serviceTimes.Estimate(now, route),
+		Load: s.overload.Load(now), Cutoff: cut, TargetRate: s.overload.Rate().Named(), ServiceTime: s.serviceTimes.Estimate(now, route),
 		Downstream: s.overload.Downstream(now, route, s.downstreamAt(now)),
 	}
 }
@@ -309,6 +311,7 @@
 	if c.Crash != "" {
 		s.quarantine.Learn(now, poison.Record{Fingerprint: f.fingerprint(), Targets: []string{c.Crash}})
 	}
+	s.adoptLimit(now, c)
 	refused := s.quarantined(now, f)
 	if refused == nil && s.isSuspect(now, f) {
 		release := s.isolate(ctx, c.QueueTimeout())
@@ -505,7 +508,7 @@
 	k.Every(cutoff.Tick, func(context.Context) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.overload.Tick(clock.Now())
+		s.notifyWaiting(s.overload.Tick(clock.Now()))
 	})
 	k.Every(syncInterval, func(context.Context) { s.applyPending(clock.Now()) })
 	return nil
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -52,7 +52,7 @@
 		s.checkCrash(now)
 	}
 	s.duration.Update(now.Sub(began).Seconds())
-	outcome := s.reserveRetry(c, s.classify(ctx, began, now, id, resp, err))
+	outcome := s.reserveRetry(c, s.classify(ctx, began, now, id, c, resp, err))
 	if _, answered := outcome.(call.Answered); answered {
 		s.clearSuspect(now, f)
 	} else {
@@ -66,7 +66,7 @@
 }
 
 // classify turns the target's response or the transport error into an outcome.
-func (s *Service) classify(ctx context.Context, began, now time.Time, id uint64, resp *httpconn.Response, err error) call.Outcome {
+func (s *Service) classify(ctx context.Context, began, now time.Time, id uint64, c call.Call, resp *httpconn.Response, err error) call.Outcome {
 	switch {
 	case errors.Is(err, httpconn.ErrNotSent):
 		s.release(now, id, admission.Aborted, true)
@@ -84,7 +84,7 @@
 		return call.Lost{Reason: failure.Lost, Err: err, Crash: s.crashes.crashOf(began)}
 	}
 	reply := s.dialect.ParseReply(resp.Status, resp.Header)
-	s.recordLimit(reply.Limit)
+	s.recordLimit(now, began, c, reply.Limit)
 	if reply.NotRun || reply.WrongTarget {
 		s.release(now, id, admission.Rejected, true)
 		return call.Refused{Reason: failure.Overload, RetryAfter: unavailableRetryAfter, ByTarget: true}
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -9,6 +9,7 @@
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/roster"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
@@ -64,11 +65,13 @@
 		s.recordAnswer(record.ID, q, s.Inbound.Load(c.Route))
 		return outcome
 	}
-	return s.sendRemote(ctx, c, q, record.ID, pick.Candidate.Address)
+	c.TargetRate = s.rateOf(incarnationOf(record))
+	return s.sendRemote(ctx, c, q, record, pick.Candidate.Address)
 }
 
 // sendRemote sends the call to another node.
-func (s *Service) sendRemote(ctx context.Context, c call.Call, q *request, id, address string) call.Outcome {
+func (s *Service) sendRemote(ctx context.Context, c call.Call, q *request, to member.Record, address string) call.Outcome {
+	id := to.ID
 	out := *q.in
 	out.Header = maps.Clone(q.in.Header)
 	httpconn.StripHopHeaders(out.Header)
@@ -81,6 +84,7 @@
 		outcome, load, decodeErr := call.Decode(resp)
 		if decodeErr == nil {
 			s.recordAnswer(id, q, load)
+			s.recordRate(clock.Now(), incarnationOf(to), outcome, load.TargetRate)
 			return outcome
 		}
 		err = decodeErr
--- a/internal/traffic/serve/serve.go
+++ b/internal/traffic/serve/serve.go
@@ -110,7 +110,7 @@
 			return nil
 		case now := <-ticker.C:
 			s.mu.Lock()
-			s.overload.Tick(now)
+			s.notifyWaiting(s.overload.Tick(now))
 			expired := s.target != nil && now.Sub(s.lastAnnounced) > announcementTTL
 			s.mu.Unlock()
 			if expired {
@@ -251,7 +251,7 @@
 	s.logCall(call, a, refusal, deadline.Sub(now))
 	s.mu.Lock()
 	o.Cutoff, o.Downstream = s.overload.Cutoff(), s.overload.Downstream(now, call.Route, s.downstreamAt(now))
-	o.Load, o.Failing, o.Leaving = s.overload.Load(), s.overload.Failing(), s.draining
+	o.Load, o.Failing, o.Leaving = s.overload.Load(now), s.overload.Failing(), s.draining
 	s.mu.Unlock()
 	if refusal != nil {
 		o.Refusal, o.RetryAfter = refusal, refusal.RetryAfter
