Stop sending to targets that say in their answers that they leave

What callers would see: requests go on to a target that leaves for as long as its heartbeats are late, lost or contradict its answers.

Cause: the header was not read. Class: as for limits, an input of the protocol that is passed through and not decided on.

Now an answer that says so ends the incarnation at the target's node as an acknowledged draining does: peers hear of it at once, and a later heartbeat of the same incarnation does not bring it back. Entry nodes remember it with the incarnation that the call was for, since the target's node may restart while membership messages are lost.

--- a/internal/policy/lifecycle/lifecycle.go
+++ b/internal/policy/lifecycle/lifecycle.go
@@ -144,6 +144,16 @@
 	return t.left.ID != "" && t.left.ID == a.ID && a.Born <= t.left.ReceivedAt.UnixMilli() && now.Sub(t.FirstSeen) <= maxDelay
 }
 
+// WithLeaving returns the state after the target has said in an answer that this
+// incarnation leaves, and whether it changed.
+func (t Target) WithLeaving(now time.Time, id string, born int64) (Target, bool) {
+	if t.State != Ready || !t.Is(id, born) {
+		return t, false
+	}
+	t.State, t.LastSeen = Leaving, now
+	return t, true
+}
+
 // WithLeave returns the state after a leave that arrived at now, and whether it
 // changed.
 func (t Target) WithLeave(now time.Time, l Leave) (Target, bool) {
--- a/internal/policy/lifecycle/lifecycle_test.go
+++ b/internal/policy/lifecycle/lifecycle_test.go
@@ -115,3 +115,21 @@
 		})
 	}
 }
+
+// A target says in an answer that it leaves. Neither its later heartbeats nor an answer
+// of an earlier incarnation change that.
+func TestLeavingInAnswer(t *testing.T) {
+	is := is.New(t)
+	a := lifecycle.Announcement{ID: "i", Born: 1000, Service: "s", Slots: 4, Sequence: 1}
+	target, _ := lifecycle.Target{}.WithAnnouncement(start, a)
+	_, changed := target.WithLeaving(start, "i", 900)
+	is.True(!changed)
+	target, changed = target.WithLeaving(start, "i", 1000)
+	is.True(changed && target.State == lifecycle.Leaving && target.Slots() == 0)
+	a.Sequence = 2
+	target, changed = target.WithAnnouncement(start, a)
+	is.True(!changed && target.State == lifecycle.Leaving)
+	a.Born, a.Sequence = 2000, 1
+	target, changed = target.WithAnnouncement(start, a)
+	is.True(changed && target.State == lifecycle.Ready)
+}
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -149,6 +149,9 @@
 	// TargetRate is the rate limit that the target names, in requests per second; 0 for
 	// none.
 	TargetRate float64
+	// TargetLeft is set when the incarnation of the target that the call is for has said
+	// that it leaves.
+	TargetLeft bool
 	// Downstream is the known cutoffs that inner calls of the route meet at other
 	// services.
 	Downstream []balancer.Downstream
@@ -176,6 +179,7 @@
 	Cutoff      int64               `json:"cut"`
 	ServiceTime int64               `json:"hold,omitempty"`
 	TargetRate  float64             `json:"rate,omitempty"`
+	TargetLeft  bool                `json:"off,omitempty"`
 	Downstream  []encodedDownstream `json:"below,omitempty"`
 	// Kind is "whole", "refused" or "lost".
 	Kind   string         `json:"kind"`
@@ -222,7 +226,7 @@
 func Encode(o Outcome, load Load) (*httpconn.Response, error) {
 	r := encodedResult{
 		Load: int64(load.Load * fractionFactor), Cutoff: int64(load.Cutoff * scoreFactor), ServiceTime: int64(load.ServiceTime * serviceTimeFactor),
-		TargetRate: load.TargetRate,
+		TargetRate: load.TargetRate, TargetLeft: load.TargetLeft,
 	}
 	for _, b := range load.Downstream {
 		r.Downstream = append(r.Downstream, encodedDownstream{b.Service, int64(b.Cutoff * scoreFactor)})
@@ -258,7 +262,7 @@
 	resp.Header.Del(resultHeader)
 	load := Load{
 		Load: float64(r.Load) / fractionFactor, Cutoff: priority.Cutoff(r.Cutoff) / scoreFactor, ServiceTime: float64(r.ServiceTime) / serviceTimeFactor,
-		TargetRate: r.TargetRate,
+		TargetRate: r.TargetRate, TargetLeft: r.TargetLeft,
 	}
 	for _, b := range r.Downstream {
 		load.Downstream = append(load.Downstream, balancer.Downstream{Service: b.Service, Cutoff: priority.Cutoff(b.Cutoff) / scoreFactor})
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -261,18 +261,20 @@
 	}
 }
 
-// Load returns the target's load for calls on a route, as reported to entry nodes.
-func (s *Service) Load(route string) call.Load {
+// Load returns the target's load for a call, as reported to its entry node.
+func (s *Service) Load(c call.Call) call.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
 	cut := s.overload.Cutoff()
+	left := s.target.State == lifecycle.Leaving || s.target.State == lifecycle.Gone
 	if s.target.State != lifecycle.Ready || s.draining || now.Before(s.ejectedUntil) {
 		cut = priority.AdmitNone
 	}
 	return call.Load{
-		Load: s.overload.Load(now), Cutoff: cut, TargetRate: s.overload.Rate().Named(), ServiceTime: s.serviceTimes.Estimate(now, route),
-		Downstream: s.overload.Downstream(now, route, s.downstreamAt(now)),
+		Load: s.overload.Load(now), Cutoff: cut, TargetRate: s.overload.Rate().Named(),
+		TargetLeft: left && s.target.Is(c.Instance, c.Born), ServiceTime: s.serviceTimes.Estimate(now, c.Route),
+		Downstream: s.overload.Downstream(now, c.Route, s.downstreamAt(now)),
 	}
 }
 
@@ -492,7 +494,7 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	resp, err := call.Encode(outcome, s.Load(c.Route))
+	resp, err := call.Encode(outcome, s.Load(c))
 	if err != nil {
 		s.log.WithError(err).Error("could not encode an outcome for a peer")
 		return nil
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -11,6 +11,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/admission"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
+	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/retry"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
@@ -85,6 +86,9 @@
 	}
 	reply := s.dialect.ParseReply(resp.Status, resp.Header)
 	s.recordLimit(now, began, c, reply.Limit)
+	if reply.Leaving {
+		s.update(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithLeaving(now, c.Instance, c.Born) })
+	}
 	if reply.NotRun || reply.WrongTarget {
 		s.release(now, id, admission.Rejected, true)
 		return call.Refused{Reason: failure.Overload, RetryAfter: unavailableRetryAfter, ByTarget: true}
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -116,7 +116,7 @@
 	// candidateBuf is reused for the candidates of each choice.
 	candidateBuf []balancer.Candidate
 	pools        map[string]*httpconn.Pool
-	rates        map[incarnation]targetRate
+	targets      targets
 
 	duration *metrics.Histogram
 }
@@ -126,7 +126,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	s := &Service{
 		Deps: p, zone: zone, balancer: balancer.New(zone, random), ranker: rank.New(),
-		retriesDenied: map[string]time.Time{}, pools: map[string]*httpconn.Pool{}, rates: map[incarnation]targetRate{},
+		retriesDenied: map[string]time.Time{}, pools: map[string]*httpconn.Pool{}, targets: newTargets(),
 		duration: p.Metrics.NewHistogram("request_seconds"),
 	}
 	s.settings.Store(&t)
@@ -314,7 +314,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pruneRates(now)
+	s.targets.prune(now)
 	s.ranker.Prune(now)
 	s.balancer.Prune(present)
 	if len(s.pools) > maxPools {
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -43,6 +43,9 @@
 	s.candidateBuf = s.candidateBuf[:0]
 	for i := range list {
 		r := &list[i]
+		if s.targets.hasLeft(incarnationOf(r.Record)) {
+			continue
+		}
 		s.candidateBuf = append(s.candidateBuf, balancer.Candidate{
 			ID: r.ID, Address: r.Address, Zone: r.Zone, Slots: r.Slots, ReadySince: r.Since, Failing: r.Failing,
 		})
@@ -62,10 +65,12 @@
 	c.QueueTimeoutMS = max(0, q.waitUntil.Sub(now)).Milliseconds()
 	if record.ID == s.Roster.Self().ID {
 		outcome := s.Inbound.Run(ctx, now, c, q.in)
-		s.recordAnswer(record.ID, q, s.Inbound.Load(c.Route))
+		s.recordAnswer(record.ID, q, s.Inbound.Load(c))
 		return outcome
 	}
-	c.TargetRate = s.rateOf(incarnationOf(record))
+	s.mu.Lock()
+	c.TargetRate = s.targets.rate(incarnationOf(record))
+	s.mu.Unlock()
 	return s.sendRemote(ctx, c, q, record, pick.Candidate.Address)
 }
 
@@ -84,7 +89,7 @@
 		outcome, load, decodeErr := call.Decode(resp)
 		if decodeErr == nil {
 			s.recordAnswer(id, q, load)
-			s.recordRate(clock.Now(), incarnationOf(to), outcome, load.TargetRate)
+			s.recordTarget(clock.Now(), to, outcome, load)
 			return outcome
 		}
 		err = decodeErr
