inbound: don't take a refusal written again for that of a later request

Report of other operators: a faulty upstream writes an earlier refusal once more on a kept connection; clients are told "not run" for a request that has run, or it runs twice. It can happen here, in two ways:

- a response without an ID was taken for that of the request that waits;
- a request that its target refused is sent there again, with the same ID, and may get the connection on which the refusal was read.

Now a response must name its request. One that names none fails the request as possibly run, since it may belong to any; one that names another is skipped as before. A request goes to the target that refused it on a new connection only.

--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -55,6 +55,8 @@
 	// previous target has counted against the retry budget already.
 	Retry        bool `json:"again,omitempty"`
 	RetryGranted bool `json:"paid,omitempty"`
+	// SameTarget is set on a retry at the target that refused the last attempt.
+	SameTarget bool `json:"same,omitempty"`
 	// Last is set when no retry will follow.
 	Last bool `json:"last,omitempty"`
 	// Crash names the crash of the target that the previous attempt was lost in.
--- a/internal/traffic/httpconn/httpconn_test.go
+++ b/internal/traffic/httpconn/httpconn_test.go
@@ -196,8 +196,11 @@
 func pool(address string) *httpconn.Pool {
 	return httpconn.NewPool(address, httpconn.Options{
 		DialTimeout: time.Second, MaxIdle: 4, MaxBody: 1 << 10,
-		Match: func(r *httpconn.Request, h http.Header) bool {
-			return h.Get("ID") == "" || h.Get("ID") == r.Header.Get("ID")
+		Match: func(r *httpconn.Request, h http.Header) httpconn.Match {
+			if h.Get("ID") == "" || h.Get("ID") == r.Header.Get("ID") {
+				return httpconn.Matched
+			}
+			return httpconn.OtherRequest
 		},
 	})
 }
@@ -247,6 +250,38 @@
 	}
 }
 
+// A response that names no request fails the one that waits, although its own response
+// may follow. It may have run, so the error is not ErrNotSent.
+func TestResponseNamesNoRequest(t *testing.T) {
+	is := is.New(t)
+	address, conns := scriptedServer(t, true, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"+response("1", "a"))
+	p := httpconn.NewPool(address, httpconn.Options{
+		DialTimeout: time.Second, MaxIdle: 4, MaxBody: 1 << 10,
+		Match: func(_ *httpconn.Request, h http.Header) httpconn.Match {
+			if h.Get("ID") == "" {
+				return httpconn.NoRequest
+			}
+			return httpconn.Matched
+		},
+	})
+	_, err := p.Do(t.Context(), get("1"), httpconn.Reuse{})
+	is.True(err != nil && !errors.Is(err, httpconn.ErrNotSent))
+	_, _ = p.Do(t.Context(), get("2"), httpconn.Reuse{})
+	is.Equal(conns.Load(), int32(2))
+}
+
+// A request that must not follow an earlier attempt of its own takes a new connection.
+func TestFreshConnection(t *testing.T) {
+	is := is.New(t)
+	address, conns := scriptedServer(t, true, response("1", "a"), response("2", "b"), response("3", "c"))
+	p := pool(address)
+	for i, reuse := range []httpconn.Reuse{{}, {}, {Fresh: true}} {
+		_, err := p.Do(t.Context(), get(fmt.Sprint(min(i+1, 2)-i/2)), reuse)
+		is.NoErr(err)
+	}
+	is.Equal(conns.Load(), int32(2))
+}
+
 // The error wraps ErrNotSent when no connection can be made.
 func TestNotSent(t *testing.T) {
 	is := is.New(t)
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -64,11 +64,22 @@
 	// Budget bounds the memory of large response bodies while they are read. Nil
 	// is unlimited.
 	Budget *Budget
-	// Match reports whether a response with header h belongs to req. Nil accepts
-	// every response.
-	Match func(req *Request, h http.Header) bool
+	// Match says which request a response with header h belongs to. Nil accepts every
+	// response.
+	Match func(req *Request, h http.Header) Match
 }
 
+// Match says which request a response belongs to.
+type Match int
+
+// A response belongs to the request that was just sent, to another one, which its own may
+// follow, or names none. The latter fails the request, since it may belong to any.
+const (
+	Matched Match = iota
+	OtherRequest
+	NoRequest
+)
+
 // Pool is a connection pool for one address. A connection carries one request at a
 // time. It is not reused after an error, a mismatched response, unexpected bytes or a
 // context that ended.
@@ -92,6 +103,9 @@
 	// Retry sends the request again, on a new connection, when the idle connection
 	// was stale. Set it only for requests that may be repeated.
 	Retry bool
+	// Fresh uses a new connection. On an idle one, a response to an earlier attempt of
+	// the same request may follow.
+	Fresh bool
 }
 
 // clientConn is a connection of a pool.
@@ -137,7 +151,7 @@
 // Do sends a request and reads the whole response. The error wraps ErrNotSent when
 // nothing was sent.
 func (p *Pool) Do(ctx context.Context, r *Request, reuse Reuse) (*Response, error) {
-	c, err := p.get(ctx, reuse.MaxIdleTime)
+	c, err := p.get(ctx, reuse)
 	if err != nil {
 		return nil, err
 	}
@@ -209,14 +223,17 @@
 
 // get returns an idle connection that is fit for reuse, or a new one. Idle ones that
 // are not fit are closed.
-func (p *Pool) get(ctx context.Context, maxIdleTime time.Duration) (*clientConn, error) {
+func (p *Pool) get(ctx context.Context, reuse Reuse) (*clientConn, error) {
+	if reuse.Fresh {
+		return p.dial(ctx)
+	}
 	for {
 		c, idleCap := p.takeIdle(time.Now())
 		if c == nil {
 			return p.dial(ctx)
 		}
 		now := time.Now()
-		fresh := (maxIdleTime == 0 || c.idleTime(now) < maxIdleTime) && (idleCap == 0 || c.idleTime(now) < idleCap)
+		fresh := (reuse.MaxIdleTime == 0 || c.idleTime(now) < reuse.MaxIdleTime) && (idleCap == 0 || c.idleTime(now) < idleCap)
 		if fresh && now.Before(c.expires) && c.in.Buffered() == 0 && healthy(c.conn) {
 			return c, nil
 		}
@@ -305,10 +322,16 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if o.Match == nil || o.Match(r, resp.Header) {
+		match := Matched
+		if o.Match != nil {
+			match = o.Match(r, resp.Header)
+		}
+		if match == NoRequest {
+			return nil, false, errors.New("response names no request")
+		}
+		if match == Matched {
 			break
 		}
-		// A response to an earlier request. Ours may follow it.
 		resp, mismatched = nil, true
 	}
 	if resp == nil {
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -152,9 +152,14 @@
 	}
 	s.pool = httpconn.NewPool(o.Address, httpconn.Options{
 		DialTimeout: dialTimeout, MaxIdle: maxIdleConns, MaxBody: maxResponse, Budget: o.ResponseBudget,
-		Match: func(r *httpconn.Request, h http.Header) bool {
-			id := d.ParseReply(http.StatusOK, h).ID
-			return id == "" || id == d.ParseRequest(r.Header).ID
+		Match: func(r *httpconn.Request, h http.Header) httpconn.Match {
+			switch d.ParseReply(http.StatusOK, h).ID {
+			case "":
+				return httpconn.NoRequest
+			case d.ParseRequest(r.Header).ID:
+				return httpconn.Matched
+			}
+			return httpconn.OtherRequest
 		},
 	})
 	set.NewGauge("target_resends_total", func() float64 { return float64(s.pool.Resends()) })
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -36,7 +36,7 @@
 	out.Header = maps.Clone(r.Header)
 	httpconn.StripHopHeaders(out.Header)
 	s.dialect.Outgoing(out.Header, c.WithRemaining(left))
-	reuse := httpconn.Reuse{Retry: c.Idempotent}
+	reuse := httpconn.Reuse{Retry: c.Idempotent, Fresh: c.SameTarget}
 	if !c.Idempotent {
 		reuse.MaxIdleTime = nonIdempotentIdle
 	}
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -57,7 +57,7 @@
 func (s *Service) dispatch(ctx context.Context, now time.Time, q *request, pick balancer.Pick) call.Outcome {
 	record, _ := s.Roster.Get(pick.Candidate.ID)
 	c := q.call.WithTarget(record.Instance, record.Born).WithRemaining(q.deadline.Sub(now))
-	c.Forced, c.Crash = pick.Forced, q.crash
+	c.Forced, c.Crash, c.SameTarget = pick.Forced, q.crash, q.sameTarget
 	if q.attempts > 0 {
 		c = c.AsRetry(q.retryReserved)
 	}
