roster: remember leaves without a start over a restart of the node

Cause: a target that signs off without its start, before its node has processed a heartbeat, is recorded with start 0, and the next process of the node compared starts for equality.

The record has the time until which starts have left. TestLeaveWithoutStartSurvivesRestart plays the same without the race: it failed before (three requests after the leave) and passes.

--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -66,6 +66,9 @@
 	// that it leaves. This is final for the incarnation, also when the node
 	// restarts.
 	Deregistered bool `json:"off,omitempty"`
+	// Until is set where Born is not known at the leave: all incarnations with this ID
+	// that started by then have left. It is in Unix milliseconds.
+	Until int64 `json:"until,omitempty"`
 	// Datagrams is the node's listener for membership datagrams, IP:port.
 	Datagrams string `json:"udp,omitempty"`
 	// Failing is set while the target fails most requests.
@@ -99,6 +102,12 @@
 	return r
 }
 
+// HasLeft reports whether an incarnation of the node's target has announced that it
+// leaves.
+func (r Record) HasLeft(instance string, born int64) bool {
+	return r.Deregistered && r.Instance == instance && (r.Born == born || (r.Born == 0 && born <= r.Until))
+}
+
 // Gone reports whether the node is dead or has left.
 func (r Record) Gone() bool { return r.Status == Dead || r.Status == Left }
 
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -206,7 +206,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.ContainsFunc(s.table.Deregistered(s.table.Self().Address), func(r member.Record) bool {
-		return r.Instance == instance && r.Born == born
+		return r.HasLeft(instance, born)
 	})
 }
 
--- a/internal/policy/lifecycle/lifecycle.go
+++ b/internal/policy/lifecycle/lifecycle.go
@@ -99,6 +99,15 @@
 	return t.Last.Slots
 }
 
+// LeftUntil is the time of a leave without a start time, in Unix milliseconds, until the
+// start time is known; 0 otherwise. Incarnations that started by then have left.
+func (t Target) LeftUntil() int64 {
+	if t.left.ID == "" {
+		return 0
+	}
+	return t.left.ReceivedAt.UnixMilli()
+}
+
 // Is reports whether the target is this incarnation.
 func (t Target) Is(id string, born int64) bool {
 	return t.State != Absent && t.Last.ID == id && t.Last.Born == born
