httpconn: test that a response whose head ends early is not complete

Report of other operators: an upstream stops in the middle of its answer's head and closes, and clients get a 200 with an empty or short body. It does not happen here: every proper prefix of four responses (with a length, ended by the connection, chunked, with bare line feeds) is an error. The test guards that; no code changes.

--- a/internal/traffic/httpconn/httpconn_test.go
+++ b/internal/traffic/httpconn/httpconn_test.go
@@ -523,3 +523,24 @@
 		}
 	}
 }
+
+// A target stops in the middle of the head of its response and closes the connection. At
+// no length of what it has sent the response is complete.
+func TestResponseHeadEndsEarly(t *testing.T) {
+	is := is.New(t)
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nID: 1\r\nSig: s\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nID: 1\r\nSig: s\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nID: 1\r\nSig: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\nID: 1\nSig: s\nContent-Length: 2\n\nok",
+	} {
+		for n := range len(whole) {
+			address, _ := scriptedServer(t, false, whole[:n])
+			resp, err := pool(address).Do(t.Context(), get("1"), httpconn.Reuse{})
+			if err == nil {
+				t.Errorf("%q gives %d with body %q", whole[:n], resp.Status, resp.Body)
+			}
+			is.True(!errors.Is(err, httpconn.ErrNotSent))
+		}
+	}
+}
