--- a/internal/policy/admission/admission_test.go
+++ b/internal/policy/admission/admission_test.go
@@ -402,3 +402,59 @@
 	verdict, _ := c.Offer(now, request(id+1, manifest.Low, 1, deadline))
 	is.Equal(verdict, admission.Start{})
 }
+
+// A target with many slots names a rate far below the load. The rate is kept and used,
+// requests that are more important get it first, and refusals come at once.
+func TestRateLimitKeepsImportance(t *testing.T) {
+	is := is.New(t)
+	const (
+		perSecond = 10
+		seconds   = 20
+		hold      = 200 * time.Millisecond
+		step      = 10 * time.Millisecond
+	)
+	c := admission.New(admission.Sidecar())
+	c.SetSlots(start, 36)
+	c.SetRate(start, c.Rate().WithNamed(start, perSecond))
+	important, starts := map[uint64]bool{}, map[uint64]time.Time{}
+	served, offered, id := 0, 0, uint64(0)
+	begin := func(now time.Time, ids ...uint64) {
+		for _, id := range ids {
+			starts[id] = now
+		}
+	}
+	for at := time.Duration(0); at < seconds*time.Second; at += step {
+		now := start.Add(at)
+		for id, began := range starts {
+			if now.Sub(began) == hold {
+				begin(now, c.Release(now, id, admission.Answered).Started...)
+			}
+		}
+		if at%cutoff.Tick == 0 {
+			begin(now, c.Tick(now).Started...)
+		}
+		importance := manifest.Low
+		if at%(200*time.Millisecond) == 0 { // half of the rate
+			importance = manifest.High
+		}
+		id++
+		important[id] = importance == manifest.High
+		verdict, changes := c.Offer(now, request(id, importance, rand.Float64(), now.Add(time.Minute)))
+		if _, ok := verdict.(admission.Start); ok {
+			begin(now, id)
+		}
+		begin(now, changes.Started...)
+	}
+	for id, is := range important {
+		if is {
+			offered++
+			if _, ok := starts[id]; ok {
+				served++
+			}
+		}
+	}
+	is.True(len(starts) <= perSecond*seconds+3)
+	is.True(len(starts) >= perSecond*seconds*9/10)
+	is.True(served >= offered-1) // the last one may wait
+	is.True(c.State().Waiting <= 3)
+}
