inbound: only calls that were sent count as in flight at a crash

Found by reading: a call was recorded before its connection was open, and a refused connection triggered the check too. While a target is down, a suspect that is refused a connection could so be counted at a second crash and banned.

Now the pool reports when it has a connection, and only broken connections trigger the check.

--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -87,14 +87,14 @@
 	kernel    *kernel.Kernel
 	metricSet *metrics.Set
 
-	config  *confsync.Service
-	roster  *roster.Service
-	rates   *quota.Service
-	crashes *quarantine.Service
-	inbound *inbound.Service
-	relay   *relay.Service
-	callers *httpconn.Server
-	peers   *httpconn.Server
+	config     *confsync.Service
+	roster     *roster.Service
+	rates      *quota.Service
+	quarantine *quarantine.Service
+	inbound    *inbound.Service
+	relay      *relay.Service
+	callers    *httpconn.Server
+	peers      *httpconn.Server
 
 	draining atomic.Bool
 }
@@ -118,12 +118,12 @@
 	}
 	n.rates = quota.New(clock.Now, n.roster, n.config, n.logger(quota.Name))
 	n.roster.AddTopic(quota.Name, n.rates)
-	n.crashes = quarantine.New(clock.Now, n.roster, n.logger(quarantine.Name))
-	n.roster.AddTopic(quarantine.Name, n.crashes)
+	n.quarantine = quarantine.New(clock.Now, n.roster, n.logger(quarantine.Name))
+	n.roster.AddTopic(quarantine.Name, n.quarantine)
 	answers := httpconn.NewBudget(responseBudget(s))
 	n.inbound = inbound.New(inbound.Options{
 		Address: s.Target, ResponseBudget: answers, Retries: retrybudget.Limits{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack}, OnChange: n.publishTarget,
-		Quarantine:  n.crashes,
+		Quarantine:  n.quarantine,
 		Synced:      func(now time.Time) bool { return n.roster.Synced(now) },
 		HasLeft:     func(instance string, born int64) bool { return n.roster.TargetLeft(instance, born) },
 		TargetCount: func(service string) int { return len(n.roster.Serving(clock.Now(), service)) },
@@ -133,12 +133,12 @@
 	}, adapter.Dialect, n.metricSet, n.logger(inbound.Name))
 	n.relay = relay.New(s.Zone, n.relaySettings(s), relay.Deps{
 		Dialect: adapter.Dialect, Config: n.config, Roster: n.roster, Quota: n.rates,
-		Inbound: n.inbound, Quarantine: n.crashes, ResponseBudget: answers, Metrics: n.metricSet, Log: n.logger(relay.Name),
+		Inbound: n.inbound, Quarantine: n.quarantine, ResponseBudget: answers, Metrics: n.metricSet, Log: n.logger(relay.Name),
 	})
 	if err := n.listen(adapter); err != nil {
 		return nil, err
 	}
-	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.crashes, n.inbound, n.relay} {
+	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.quarantine, n.inbound, n.relay} {
 		if err := n.kernel.Register(service); err != nil {
 			return nil, fmt.Errorf("assemble node: %w", err)
 		}
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -106,6 +106,8 @@
 	// Fresh uses a new connection. On an idle one, a response to an earlier attempt of
 	// the same request may follow.
 	Fresh bool
+	// OnSend is called once a connection is open, before the request is written to it.
+	OnSend func()
 }
 
 // clientConn is a connection of a pool.
@@ -155,6 +157,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if reuse.OnSend != nil {
+		reuse.OnSend()
+	}
 	idleTime, start := c.idleTime(time.Now()), time.Now()
 	resp, err := p.exchange(ctx, c, r)
 	if !isStale(err, idleTime, time.Since(start)) {
--- a/internal/traffic/inbound/crash.go
+++ b/internal/traffic/inbound/crash.go
@@ -36,7 +36,7 @@
 	request *httpconn.Request
 	// suspect is set if the request was in flight at an earlier crash.
 	suspect bool
-	began   time.Time
+	sentAt  time.Time
 	// lostAt is when its connection broke; zero while it is running.
 	lostAt time.Time
 }
@@ -55,8 +55,8 @@
 	running map[uint64]flight
 	// lost are the calls whose connection broke within the crashWindow.
 	lost []flight
-	// crashedAt is when the last crash was noticed, and crash its name. Calls that began
-	// before then are not counted again.
+	// crashedAt is when the last crash was noticed, and crash its name. Calls that were
+	// sent before then are not counted again.
 	crashedAt time.Time
 	crash     string
 	// checkedAt is when the port last accepted a connection.
@@ -69,10 +69,12 @@
 	return &crashDetector{address: address, running: map[uint64]flight{}}
 }
 
-// start records a call that is sent to the target.
-func (d *crashDetector) start(id uint64, f flight) {
+// start records a call that is sent to the target. Calls that wait for a connection are
+// not in flight.
+func (d *crashDetector) start(now time.Time, id uint64, f flight) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	f.sentAt = now
 	d.running[id] = f
 }
 
@@ -149,12 +151,12 @@
 func (d *crashDetector) affected(now time.Time) []flight {
 	var found []flight
 	for _, f := range d.running {
-		if f.began.After(d.crashedAt) {
+		if f.sentAt.After(d.crashedAt) {
 			found = append(found, f)
 		}
 	}
 	for _, f := range d.lost {
-		if f.began.After(d.crashedAt) && now.Sub(f.lostAt) <= crashWindow {
+		if f.sentAt.After(d.crashedAt) && now.Sub(f.lostAt) <= crashWindow {
 			found = append(found, f)
 		}
 	}
@@ -202,6 +204,23 @@
 	s.quarantine.Crashed(now, target.Last.Service, crash, runs)
 }
 
+// screen refuses a call whose request crashes targets, and isolates it if it is only a
+// suspect. The caller must call release at the end of the run.
+func (s *Service) screen(ctx context.Context, now time.Time, f flight) (_ flight, release func(), refused *call.Refused) {
+	if f.call.Crash != "" {
+		s.quarantine.Learn(now, poison.Record{Fingerprint: f.fingerprint(), Targets: []string{f.call.Crash}})
+	}
+	release = func() {}
+	if refused = s.quarantined(now, f); refused != nil || !s.isSuspect(now, f) {
+		return f, release, refused
+	}
+	release = s.isolate(ctx, f.call.QueueTimeout())
+	isolated := clock.Now()
+	f.call = f.call.WithQueueTimeout(f.call.QueueTimeout() - isolated.Sub(now))
+	f.suspect = s.isSuspect(isolated, f)
+	return f, release, s.quarantined(isolated, f)
+}
+
 // quarantined refuses a call whose request crashes targets.
 func (s *Service) quarantined(now time.Time, f flight) *call.Refused {
 	if !s.quarantine.Active() {
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -21,7 +21,6 @@
 	"chestnutshed.example/chestnutshed/internal/policy/latency"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/overload"
-	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/ratelimit"
 	"chestnutshed.example/chestnutshed/internal/policy/retrybudget"
@@ -86,9 +85,11 @@
 	serviceTimes      *latency.Estimator
 	runningCalls      *correlation.Tracker
 	rate              namedRate
-	ejectedUntil      time.Time
-	crashes           *crashDetector
-	quarantine        *quarantine.Service
+	// ejectedUntil is until when the target gets no calls, since its port refused
+	// connections.
+	ejectedUntil time.Time
+	crashes      *crashDetector
+	quarantine   *quarantine.Service
 	// suspectSlot holds a token while a suspect of a crash runs, so that another crash
 	// can be attributed to it.
 	suspectSlot chan struct{}
@@ -314,19 +315,9 @@
 func (s *Service) Run(ctx context.Context, now time.Time, c call.Call, r *httpconn.Request) call.Outcome {
 	id := s.lastID.Add(1)
 	deadline := now.Add(c.Remaining())
-	f := flight{call: c, request: r}
-	if c.Crash != "" {
-		s.quarantine.Learn(now, poison.Record{Fingerprint: f.fingerprint(), Targets: []string{c.Crash}})
-	}
 	s.adoptLimit(now, c)
-	refused := s.quarantined(now, f)
-	if refused == nil && s.isSuspect(now, f) {
-		release := s.isolate(ctx, c.QueueTimeout())
-		defer release()
-		started := clock.Now()
-		f.call = c.WithQueueTimeout(c.QueueTimeout() - started.Sub(now))
-		f.suspect, refused = s.isSuspect(started, f), s.quarantined(started, f)
-	}
+	f, release, refused := s.screen(ctx, now, flight{call: c, request: r})
+	defer release()
 	if refused == nil {
 		refused = s.admit(ctx, clock.Now(), id, f.call, deadline)
 	}
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -42,13 +42,12 @@
 	}
 	s.sends.Inc()
 	s.recordStart(began, id, c, deadline)
-	f.began = began
-	s.crashes.start(id, f)
+	reuse.OnSend = func() { s.crashes.start(clock.Now(), id, f) }
 	resp, err := s.pool.Do(ctx, &out, reuse)
 	now := clock.Now()
 	s.recordEnd(began, now, id, c, resp != nil || ctx.Err() != nil)
-	lost := err != nil && ctx.Err() == nil
-	s.crashes.end(now, id, lost && !errors.Is(err, httpconn.ErrNotSent))
+	lost := err != nil && ctx.Err() == nil && !errors.Is(err, httpconn.ErrNotSent)
+	s.crashes.end(now, id, lost)
 	if lost {
 		s.checkCrash(now)
 	}
