httpconn: one check for a refused port; hash a request once

Both paths call httpconn.PortRefused now. While there are suspects, a call's fingerprint was computed up to four times at the target's node, and the list of bans twice per probe; each is computed once. No change of behaviour.

--- a/internal/fleet/quarantine/quarantine.go
+++ b/internal/fleet/quarantine/quarantine.go
@@ -143,17 +143,22 @@
 	if !s.Active() {
 		return nil
 	}
-	if d := s.digest(s.now()); d != 0 {
+	if d := digest(s.bans(s.now())); d != 0 {
 		return json.RawMessage(strconv.FormatUint(d, 10))
 	}
 	return nil
 }
 
-func (s *Service) digest(now time.Time) uint64 {
+func (s *Service) bans(now time.Time) []poison.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.table.Bans(now)
+}
+
+// digest is equal for equal sets of bans, 0 for none.
+func digest(bans []poison.Record) uint64 {
 	d := uint64(0)
-	for _, r := range s.table.Bans(now) {
+	for _, r := range bans {
 		d ^= xxhash.Sum64String(string(r.Fingerprint))
 	}
 	return d
@@ -166,7 +171,8 @@
 		s.log.WithError(err).WithField("member", from).Warn("invalid digest of bans ignored")
 		return
 	}
-	if peer == s.digest(now) {
+	bans := s.bans(now)
+	if peer == digest(bans) {
 		return
 	}
 	s.mu.Lock()
@@ -174,7 +180,6 @@
 	if !tooSoon {
 		s.exchangedAt = now
 	}
-	bans := s.table.Bans(now)
 	s.mu.Unlock()
 	if !tooSoon {
 		s.send(now, from, bans, true)
@@ -192,10 +197,7 @@
 		s.Learn(now, r)
 	}
 	if m.Reply {
-		s.mu.Lock()
-		bans := s.table.Bans(now)
-		s.mu.Unlock()
-		s.send(now, from, bans, false)
+		s.send(now, from, s.bans(now), false)
 	}
 }
 
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -50,6 +50,17 @@
 	idleCapFor = 20 * time.Second
 )
 
+// PortRefused reports whether a port refuses connections, which means that the process
+// behind it has ended.
+func PortRefused(address string, timeout time.Duration) bool {
+	conn, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // ErrNotSent is returned when no byte of a request was sent.
 var ErrNotSent = errors.New("request not sent")
 
--- a/internal/traffic/inbound/crash.go
+++ b/internal/traffic/inbound/crash.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
@@ -34,6 +31,8 @@
 type flight struct {
 	call    call.Call
 	request *httpconn.Request
+	// print is the fingerprint; empty until it is needed.
+	print poison.Fingerprint
 	// suspect is set if the request was in flight at an earlier crash.
 	suspect bool
 	sentAt  time.Time
@@ -43,6 +42,9 @@
 
 // fingerprint returns the fingerprint of the call's request.
 func (f flight) fingerprint() poison.Fingerprint {
+	if f.print != "" {
+		return f.print
+	}
 	return poison.FingerprintOf(f.call.Organisation, f.request.Method, f.request.Target, f.request.Body)
 }
 
@@ -123,7 +125,7 @@
 	if len(affected) == 0 {
 		return nil, ""
 	}
-	refused := portRefused(d.address)
+	refused := httpconn.PortRefused(d.address, crashDialTimeout)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !refused {
@@ -163,17 +165,6 @@
 	return found
 }
 
-// portRefused reports whether a port refuses connections, which means that the process
-// behind it has ended.
-func portRefused(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, crashDialTimeout)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = conn.Close()
-	return false
-}
-
 // checkCrash checks whether the target has crashed, and reports the calls that were in
 // flight then.
 func (s *Service) checkCrash(now time.Time) {
@@ -207,8 +198,11 @@
 // screen refuses a call whose request crashes targets, and isolates it if it is only a
 // suspect. The caller must call release at the end of the run.
 func (s *Service) screen(ctx context.Context, now time.Time, f flight) (_ flight, release func(), refused *call.Refused) {
+	if f.call.Crash != "" || s.quarantine.Active() {
+		f.print = f.fingerprint()
+	}
 	if f.call.Crash != "" {
-		s.quarantine.Learn(now, poison.Record{Fingerprint: f.fingerprint(), Targets: []string{f.call.Crash}})
+		s.quarantine.Learn(now, poison.Record{Fingerprint: f.print, Targets: []string{f.call.Crash}})
 	}
 	release = func() {}
 	if refused = s.quarantined(now, f); refused != nil || !s.isSuspect(now, f) {
--- a/internal/traffic/serve/serve.go
+++ b/internal/traffic/serve/serve.go
@@ -23,6 +23,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/overload"
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/retry"
+	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"chestnutshed.example/chestnutshed/internal/traffic/peers"
 	"chestnutshed.example/chestnutshed/internal/traffic/wire"
 	"github.com/VictoriaMetrics/metrics"
@@ -441,7 +442,7 @@
 // checkCrash checks whether the target has crashed. If so, it reports the requests
 // in flight as suspects.
 func (s *Service) checkCrash(target *client) {
-	if !target.portRefused() {
+	if !httpconn.PortRefused(target.announcement.Address, targetDialTimeout) {
 		return
 	}
 	s.mu.Lock()
--- a/internal/traffic/serve/target.go
+++ b/internal/traffic/serve/target.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
@@ -150,17 +149,6 @@
 	return failure.New(failure.Lost, "the connection to the target failed before the target responded").WithRan(failure.RanUnknown)
 }
 
-// portRefused reports whether the target's port refuses connections, which means
-// that its process is gone.
-func (c *client) portRefused() bool {
-	conn, err := net.DialTimeout("tcp", c.announcement.Address, targetDialTimeout)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = conn.Close()
-	return false
-}
-
 // String returns the target's service and address for logs.
 func (c *client) String() string {
 	return fmt.Sprintf("%s at %s", c.announcement.Service, c.announcement.Address)
