lifecycle: one place says whether a target has left

The record for peers and the load for entry nodes each listed the states. The wait for a slot uses Call.QueueTimeout, which does the same conversion. No change of behaviour.

--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -227,7 +227,7 @@
 	failing := n.inbound.Failing()
 	n.roster.Update(clock.Now(), func(r member.Record) member.Record {
 		r.Service, r.Slots, r.Instance, r.Born = t.Last.Service, t.Slots(), t.Last.ID, t.Last.Born
-		r.Deregistered = t.State == lifecycle.Leaving || t.State == lifecycle.Gone
+		r.Deregistered = t.HasLeft()
 		r.Until = t.LeftUntil()
 		r.Failing, r.Leaving = failing, n.draining.Load()
 		return r
--- a/internal/policy/lifecycle/lifecycle.go
+++ b/internal/policy/lifecycle/lifecycle.go
@@ -99,6 +99,9 @@
 	return t.Last.Slots
 }
 
+// HasLeft reports whether the target has announced that it leaves.
+func (t Target) HasLeft() bool { return t.State == Leaving || t.State == Gone }
+
 // LeftUntil is the time of a leave without a start time, in Unix milliseconds, until the
 // start time is known; 0 otherwise. Incarnations that started by then have left.
 func (t Target) LeftUntil() int64 {
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -273,13 +273,12 @@
 	defer s.mu.Unlock()
 	now := clock.Now()
 	cut := s.overload.Cutoff()
-	left := s.target.State == lifecycle.Leaving || s.target.State == lifecycle.Gone
 	if s.target.State != lifecycle.Ready || s.draining || now.Before(s.ejectedUntil) {
 		cut = priority.AdmitNone
 	}
 	return call.Load{
 		Load: s.overload.Load(now), Cutoff: cut, TargetRate: s.overload.Rate().Named(),
-		TargetLeft: left && s.target.Is(c.Instance, c.Born), ServiceTime: s.serviceTimes.Estimate(now, c.Route),
+		TargetLeft: s.target.HasLeft() && s.target.Is(c.Instance, c.Born), ServiceTime: s.serviceTimes.Estimate(now, c.Route),
 		Downstream: s.overload.Downstream(now, c.Route, s.downstreamAt(now)),
 	}
 }
@@ -373,7 +372,7 @@
 	case admission.Refuse:
 		refused = &call.Refused{Reason: v.Reason, RetryAfter: v.Backoff}
 	case admission.Wait:
-		refused = s.await(ctx, id, ch, time.Duration(c.QueueTimeoutMS)*time.Millisecond)
+		refused = s.await(ctx, id, ch, c.QueueTimeout())
 	}
 	if refused != nil && c.Retry && !c.RetryGranted {
 		s.mu.Lock()
