--- a/review/standin/holder.go
+++ b/review/standin/holder.go
@@ -179,13 +179,13 @@
 						}
 					}
 					at := f.record.since()
-					id, err := c.sendWithKey(hotKey, "GET", readPrefix+"10", 0, requestTimeout)
+					id, err := c.sendWithKey(hotKey, http.MethodPut, writePrefix+"10", 300, requestTimeout)
 					mu.Lock()
 					sent[id] = at
 					mu.Unlock()
 					var a answer
 					if err == nil {
-						a = c.receive(id, "GET", 0)
+						a = c.receive(id, http.MethodPut, 0)
 					}
 					if a.status == http.StatusTooManyRequests {
 						refused.Add(1)
