httpconn: answers to slow readers are no longer cut

Cause: TCP_USER_TIMEOUT also ends connections whose peer keeps its window closed and answers each probe. And a request stopped counting as pending before its response was written, so a stop, the connection limit and the idle timeout closed its connection. Ruled out: the time limit for writing, 20 s.

Connections of callers no longer set the option. Those to targets and nodes lift it while data waits for a peer that acknowledges everything. Responses that wait for slow readers are counted; above an eighth of the memory limit new requests are refused as not run.

--- a/internal/core/failure/failure.go
+++ b/internal/core/failure/failure.go
@@ -42,6 +42,7 @@
 	Poison           Reason = "poison"  // the request has crashed targets
 	Leaving          Reason = "leaving" // the node or its target is stopping
 	NotReady         Reason = "not-ready"
+	Backlog          Reason = "backlog"     // responses wait for slow readers
 	TooDeep          Reason = "too-deep"    // chain of inner calls too long
 	Unsafe           Reason = "unsafe-call" // not idempotent under a repeatable request
 )
@@ -65,6 +66,7 @@
 	Poison:           http.StatusUnprocessableEntity,
 	Leaving:          http.StatusServiceUnavailable,
 	NotReady:         http.StatusServiceUnavailable,
+	Backlog:          http.StatusServiceUnavailable,
 	TooDeep:          http.StatusLoopDetected,
 	Unsafe:           http.StatusUnprocessableEntity,
 }
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -61,6 +61,10 @@
 	// the greatest size.
 	responseDivisor   = 8
 	minResponseBudget = 33 << 20
+	// New requests are refused while responses that wait for slow readers take
+	// 1/unwrittenDivisor of the memory limit, or minUnwritten, in bytes, if that is more.
+	unwrittenDivisor = 8
+	minUnwritten     = 16 << 20
 	// httpTimeout limits reads and writes on the HTTP listeners, such as those
 	// for readiness, announcements and operators.
 	httpTimeout = 3 * time.Second
@@ -124,6 +128,7 @@
 		Address: s.Target, ResponseBudget: answers, Retries: retrybudget.Limits{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration()}, OnChange: n.publishTarget,
 		Quarantine:  n.quarantine,
 		Rejections:  n.rejections,
+		Backlogged:  n.backlogged,
 		Synced:      func(now time.Time) bool { return n.roster.Synced(now) },
 		HasLeft:     func(instance string, born int64) bool { return n.roster.TargetLeft(instance, born) },
 		TargetCount: func(service string) int { return len(n.roster.Serving(clock.Now(), service)) },
@@ -133,7 +138,7 @@
 	}, adapter.Dialect, n.metricSet, n.logger(inbound.Name))
 	n.relay = relay.New(s.Zone, n.relaySettings(s), relay.Deps{
 		Dialect: adapter.Dialect, Config: n.config, Roster: n.roster, Quota: n.rates,
-		Inbound: n.inbound, Quarantine: n.quarantine, Rejections: n.rejections, ResponseBudget: answers, Metrics: n.metricSet, Log: n.logger(relay.Name),
+		Inbound: n.inbound, Quarantine: n.quarantine, Rejections: n.rejections, ResponseBudget: answers, Backlogged: n.backlogged, Metrics: n.metricSet, Log: n.logger(relay.Name),
 	})
 	if err := n.listen(adapter); err != nil {
 		return nil, err
@@ -151,6 +156,13 @@
 	return max(int64(s.Memory)<<20/responseDivisor, minResponseBudget)
 }
 
+// backlogged reports whether the responses that wait for slow readers take too much
+// memory.
+func (n *Node) backlogged() bool {
+	limit := max(int64(n.settings.Memory)<<20/unwrittenDivisor, minUnwritten)
+	return n.callers.Unwritten()+n.peers.Unwritten() > limit
+}
+
 func (n *Node) logger(service string) *logrus.Entry { return n.log.WithField("component", service) }
 
 func (n *Node) relaySettings(s settings.Mesh) relay.Settings {
@@ -204,6 +216,7 @@
 		server.OnError = func(err error) { n.log.WithError(err).WithField("address", server.Address()).Warn("accept failed") }
 		server.OnPanic = n.recordPanic
 	}
+	n.metricSet.NewGauge("unwritten_bytes", func() float64 { return float64(n.callers.Unwritten() + n.peers.Unwritten()) })
 	n.registerHTTP(n.settings.Ready, adapter.Ready(n.isReady))
 	n.registerHTTP(n.settings.Announcements, adapter.Announcements(n.inbound, n.settings.Target, clock.Now, n.logger("announcements")))
 	n.registerHTTP(n.settings.Operators, n.operators())
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -196,7 +196,9 @@
 // it. After a timeout it closes all idle connections too, unless ctx ended.
 func (p *Pool) exchange(ctx context.Context, c *clientConn, r *Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
+	watch := watchWindow(c.conn)
 	resp, keep, err := c.exchange(r, p.options)
+	watch.stop()
 	if !stop() {
 		keep = false
 	}
@@ -313,7 +315,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", p.address, ErrNotSent, err)
 	}
-	setTimeouts(conn)
+	setKeepAlive(conn)
+	setUserTimeout(conn, userTimeout)
 	limit := &io.LimitedReader{R: conn}
 	return &clientConn{
 		conn: conn, limit: limit, in: bufio.NewReaderSize(limit, bufferSize), out: bufio.NewWriterSize(conn, bufferSize),
--- a/internal/traffic/httpconn/server.go
+++ b/internal/traffic/httpconn/server.go
@@ -34,6 +34,8 @@
 	// bufferSize is the size of a connection's read buffer and of its write
 	// buffer, in bytes. Most requests fit.
 	bufferSize = 2 << 10
+	// responseOverhead is an estimate of a response's memory beside its body, in bytes.
+	responseOverhead = 2 << 10
 )
 
 // Handler returns the response to a request, or nil to close the connection. The
@@ -74,6 +76,7 @@
 	// while they are idle.
 	shuttingDown bool
 	inFlight     atomic.Int64
+	unwritten    atomic.Int64
 	workers      workers
 }
 
@@ -93,6 +96,9 @@
 // InFlight is the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
+// Unwritten is the memory of the responses that wait for their callers to read, in bytes.
+func (s *Server) Unwritten() int64 { return s.unwritten.Load() }
+
 // Serve accepts connections until Close. It returns nil after Close.
 func (s *Server) Serve(ctx context.Context) error {
 	for {
@@ -198,7 +204,8 @@
 	slots chan struct{}
 
 	mu sync.Mutex
-	// pending is the number of requests that were read and have no response yet.
+	// pending is the number of requests that were read and whose response is not yet
+	// written.
 	pending int
 	// closing is set once no further request is accepted on the connection.
 	closing  bool
@@ -214,7 +221,10 @@
 		in: bufio.NewReaderSize(limit, bufferSize), out: bufio.NewWriterSize(conn, bufferSize),
 		slots: make(chan struct{}, maxPipelined),
 	}
-	setTimeouts(conn)
+	// No user timeout: it would close connections of callers that read slowly. Callers
+	// that are gone are detected by keep-alive while a request runs, by writeTimeout and
+	// by the idle timeout.
+	setKeepAlive(conn)
 	s.mu.Lock()
 	c.draining = s.draining
 	s.conns[c] = struct{}{}
@@ -403,6 +413,11 @@
 	if resp == nil {
 		resp = c.server.handle(ctx, req)
 	}
+	if resp != nil {
+		size := int64(len(resp.Body)) + responseOverhead
+		c.server.unwritten.Add(size)
+		defer c.server.unwritten.Add(-size)
+	}
 	<-previous
 	overLimit := c.server.overLimit()
 	if resp == nil {
@@ -411,18 +426,19 @@
 		return
 	}
 	c.mu.Lock()
-	c.pending--
-	if rejection != nil {
-		c.closing = true
-	}
-	if c.pending == 0 && (c.draining || resp.Close || overLimit) {
+	last := c.pending == 1
+	if rejection != nil || (last && (c.draining || resp.Close || overLimit)) {
 		c.closing = true
 	}
 	out := *resp
-	out.Close = c.closing && c.pending == 0
+	out.Close = c.closing && last
 	c.mu.Unlock()
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err := writeResponse(c.out, method, &out); err != nil {
+	err := writeResponse(c.out, method, &out)
+	c.mu.Lock()
+	c.pending--
+	c.mu.Unlock()
+	if err != nil {
 		cancel()
 		_ = c.conn.Close()
 		return
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -104,11 +104,12 @@
 	draining    bool
 	// pending is the latest announcement received before the process was synced. It
 	// is applied afterwards.
-	pending   *lifecycle.Announcement
-	startedAt time.Time
-	synced    func(now time.Time) bool
-	hasLeft   func(instance string, born int64) bool
-	lastID    atomic.Uint64
+	pending    *lifecycle.Announcement
+	startedAt  time.Time
+	backlogged func() bool
+	synced     func(now time.Time) bool
+	hasLeft    func(instance string, born int64) bool
+	lastID     atomic.Uint64
 
 	sends, refusals, losses, crashCount *metrics.Counter
 	duration                            *metrics.Histogram
@@ -132,6 +133,9 @@
 	// Downstream returns what calls on a route to a service meet at the nodes of that
 	// service and of the services it calls.
 	Downstream func(now time.Time, service, route string) []balancer.Downstream
+	// Backlogged reports whether responses that wait for slow readers take too much
+	// memory for new calls.
+	Backlogged func() bool
 	// Synced reports whether this process has had time to learn what earlier
 	// processes of the node recorded. HasLeft reports whether the target announced
 	// its leave to one of them.
@@ -151,7 +155,7 @@
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
 		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), rationing: rationing.New(), rejections: o.Rejections, targetCount: o.TargetCount, downstream: o.Downstream,
-		startedAt: clock.Now(), synced: o.Synced, hasLeft: o.HasLeft,
+		startedAt: clock.Now(), backlogged: o.Backlogged, synced: o.Synced, hasLeft: o.HasLeft,
 		overload: overload.New(admission.Sidecar()), waiting: map[uint64]chan decision{}, serviceTimes: latency.New(clock.Now()),
 		runningCalls: correlation.New(clock.Now()), crashes: newCrashDetector(o.Address),
 		quarantine: o.Quarantine, suspectSlot: make(chan struct{}, 1),
@@ -422,6 +426,8 @@
 	switch {
 	case s.draining:
 		return &call.Refused{Reason: failure.Leaving, RetryAfter: unavailableRetryAfter}
+	case s.backlogged():
+		return &call.Refused{Reason: failure.Backlog, RetryAfter: unavailableRetryAfter}
 	case s.target.State != lifecycle.Ready:
 		return &call.Refused{Reason: failure.NotReady, RetryAfter: unavailableRetryAfter}
 	case s.target.Last.Service != c.Service, !s.target.Is(c.Instance, c.Born):
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -68,6 +68,9 @@
 	noConfigRetryAfter    = 300 * time.Millisecond
 	staleConfigRetryAfter = 500 * time.Millisecond
 	noTargetRetryAfter    = 200 * time.Millisecond
+	// backlogRetryAfter is the Retry-After while slow readers take up the memory for
+	// responses.
+	backlogRetryAfter = 500 * time.Millisecond
 	// retryAfterFactor is the mean Retry-After on overload, as a fraction of the
 	// route's objective: long enough for a surge to pass, short enough for the retry
 	// to be of full value to the caller.
@@ -100,8 +103,11 @@
 	Rejections *rejection.Service
 	// ResponseBudget bounds the memory used by large responses.
 	ResponseBudget *httpconn.Budget
-	Metrics        *metrics.Set
-	Log            *logrus.Entry
+	// Backlogged reports whether responses that wait for slow readers take too much
+	// memory for new requests.
+	Backlogged func() bool
+	Metrics    *metrics.Set
+	Log        *logrus.Entry
 }
 
 // Service handles requests of callers and of the node's own target.
@@ -169,6 +175,9 @@
 	if errResp := s.resolve(q); errResp != nil {
 		return nil, errResp
 	}
+	if s.Backlogged() {
+		return nil, &errorResponse{http.StatusServiceUnavailable, failure.Backlog, backlogRetryAfter}
+	}
 	q.deadline = q.start.Add(q.route.Timeout)
 	if q.info.Timeout > 0 && q.info.Timeout < q.route.Timeout {
 		q.deadline = q.start.Add(q.info.Timeout)
