departure: an acknowledged leave holds after a kill of all nodes

Cause: the leave was known to processes only. Ruled out: other nodes that send on old knowledge, since the target's own node admits each call.

Leaves are written to the store before they are acknowledged, one object each, created and never replaced. A process holds back announcements until it has read them; if the store does not answer, a health check of the target decides. Earlier starts under an ID that left are covered too.

Before: TestLeaveSurvivesRestartOfAll, TestLeaveAcknowledgedOnceKept and TestRestartWithoutStoreAsksTarget fail.

--- a/internal/config/rules/rules.go
+++ b/internal/config/rules/rules.go
@@ -88,8 +88,13 @@
 	// Connections is the maximum number of connections that one target accepts
 	// from all callers together.
 	Connections int
+	// HealthPath is the path of the targets' health check; empty for none.
+	HealthPath string
 }
 
+// ServiceByName returns a service, or nil.
+func (s *Set) ServiceByName(name string) *Service { return s.serviceByName[name] }
+
 // Limits apply to requests from callers. Sizes are in bytes.
 type Limits struct {
 	MaxHeaderBytes int
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -103,9 +103,13 @@
 }
 
 // HasLeft reports whether an incarnation of the node's target has announced that it
-// leaves.
+// leaves. Earlier ones with the same ID have ended.
 func (r Record) HasLeft(instance string, born int64) bool {
-	return r.Deregistered && r.Instance == instance && (r.Born == born || (r.Born == 0 && born <= r.Until))
+	latest := r.Born
+	if latest == 0 {
+		latest = r.Until
+	}
+	return r.Deregistered && r.Instance == instance && born <= latest
 }
 
 // Gone reports whether the node is dead or has left.
--- a/internal/fleet/roster/join.go
+++ b/internal/fleet/roster/join.go
@@ -27,7 +27,7 @@
 		wait := joinInterval
 		if registered && scans >= 2 && s.hasPeers() {
 			wait = scanInterval/2 + rand.N(scanInterval)
-			for ctx.Err() == nil && !s.isFirst() {
+			for ctx.Err() == nil && !s.IsFirst() {
 				kernel.Pause(ctx, wait)
 			}
 		}
@@ -51,9 +51,9 @@
 	return len(ids) > 1
 }
 
-// isFirst reports whether this node has the lowest ID of the running members,
+// IsFirst reports whether this node has the lowest ID of the running members,
 // or is the only one.
-func (s *Service) isFirst() bool {
+func (s *Service) IsFirst() bool {
 	ids, _ := s.Running(clock.Now())
 	return len(ids) <= 1 || ids[0] == s.Self().ID
 }
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -17,6 +17,7 @@
 	"chestnutshed.example/chestnutshed/internal/config/settings"
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/departure"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/quota"
@@ -75,6 +76,7 @@
 	Dialect       call.Dialect
 	Source        confsync.Source
 	Directory     roster.Directory
+	Leaves        departure.Store
 	Announcements func(sink *inbound.Service, address string, now func() time.Time, log *logrus.Entry) http.Handler
 	Ready         func(ready func() bool) http.Handler
 }
@@ -91,6 +93,7 @@
 	rates      *quota.Service
 	quarantine *quarantine.Service
 	rejections *rejection.Service
+	departures *departure.Service
 	inbound    *inbound.Service
 	relay      *relay.Service
 	callers    *httpconn.Server
@@ -123,6 +126,7 @@
 	n.roster.AddTopic(quarantine.Name, n.quarantine)
 	n.rejections = rejection.New(clock.Now, n.logger(rejection.Name))
 	n.roster.AddTopic(rejection.Name, n.rejections)
+	n.departures = departure.New(s.Node, adapter.Leaves, n.roster.IsFirst, n.logger(departure.Name))
 	answers := httpconn.NewBudget(responseBudget(s))
 	n.inbound = inbound.New(inbound.Options{
 		Address: s.Target, ResponseBudget: answers, Retries: retrybudget.Limits{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration()}, OnChange: n.publishTarget,
@@ -130,6 +134,8 @@
 		Rejections:  n.rejections,
 		Backlogged:  n.backlogged,
 		Synced:      func(now time.Time) bool { return n.roster.Synced(now) },
+		Departures:  n.departures,
+		HealthPath:  n.healthPath,
 		HasLeft:     func(instance string, born int64) bool { return n.roster.TargetLeft(instance, born) },
 		TargetCount: func(service string) int { return len(n.roster.Serving(clock.Now(), service)) },
 		Downstream: func(now time.Time, service, route string) []balancer.Downstream {
@@ -143,7 +149,7 @@
 	if err := n.listen(adapter); err != nil {
 		return nil, err
 	}
-	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.quarantine, n.rejections, n.inbound, n.relay} {
+	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.quarantine, n.rejections, n.departures, n.inbound, n.relay} {
 		if err := n.kernel.Register(service); err != nil {
 			return nil, fmt.Errorf("assemble node: %w", err)
 		}
@@ -163,6 +169,18 @@
 	return n.callers.Unwritten()+n.peers.Unwritten() > limit
 }
 
+// healthPath returns the path of the health check of a service's targets, or "".
+func (n *Node) healthPath(service string) string {
+	c := n.config.Get()
+	if c == nil {
+		return ""
+	}
+	if s := c.Rules.ServiceByName(service); s != nil {
+		return s.HealthPath
+	}
+	return ""
+}
+
 func (n *Node) logger(service string) *logrus.Entry { return n.log.WithField("component", service) }
 
 func (n *Node) relaySettings(s settings.Mesh) relay.Settings {
--- a/internal/policy/lifecycle/lifecycle.go
+++ b/internal/policy/lifecycle/lifecycle.go
@@ -66,7 +66,11 @@
 // Announcements arrive seconds late at most.
 const maxDelay = 30 * time.Second
 
-// Leave is a target's message that it has ended.
+// maxLeaves bounds the leaves that a Target remembers. Only those of incarnations
+// that may still be announced for the first time are remembered.
+const maxLeaves = 64
+
+// Leave is a target's message that it leaves or has ended.
 type Leave struct {
 	ID string
 	// Born is the start time of the incarnation as in Announcement; 0 if the
@@ -77,6 +81,24 @@
 	ReceivedAt time.Time
 }
 
+// Covers reports whether an incarnation has left or ended, given this message. It covers
+// all incarnations with its ID up to the one that sent it: earlier ones have ended.
+// Without a start time these are the ones that had started when it arrived.
+func (l Leave) Covers(id string, born int64) bool {
+	latest := l.Born
+	if latest == 0 {
+		latest = l.ReceivedAt.UnixMilli()
+	}
+	return l.ID == id && born <= latest
+}
+
+// knownLeave is a leave that a Target remembers.
+type knownLeave struct {
+	Leave
+	// expires is when the leave no longer covers announcements; zero for never.
+	expires time.Time
+}
+
 // Target is the immutable state of the target beside a node. In the zero value
 // the target is absent.
 type Target struct {
@@ -86,8 +108,33 @@
 	// when the latest did.
 	FirstSeen time.Time
 	LastSeen  time.Time
-	// left is the leave of an incarnation whose start time is not known.
-	left Leave
+	// until is the time of a leave without a start time, in Unix milliseconds, until
+	// the start time is known.
+	until int64
+	// leaves are known leaves of incarnations other than older ones.
+	leaves []knownLeave
+	// awaitsHistory is set until the leaves are known that earlier processes of the
+	// node acknowledged. Pending is the newest announcement of a target that accepts
+	// work that arrived by then.
+	awaitsHistory bool
+	pending       *Announcement
+}
+
+// AwaitingHistory returns the state of a process that has just started. It holds back
+// announcements of a target that accepts work until WithHistory: they may be older than
+// a leave that an earlier process acknowledged.
+func AwaitingHistory() Target { return Target{awaitsHistory: true} }
+
+// AwaitsHistory reports whether the leaves that earlier processes acknowledged are not
+// known yet.
+func (t Target) AwaitsHistory() bool { return t.awaitsHistory }
+
+// Pending returns the announcement that is held back, and false if there is none.
+func (t Target) Pending() (Announcement, bool) {
+	if t.pending == nil {
+		return Announcement{}, false
+	}
+	return *t.pending, true
 }
 
 // Slots is the number of requests that the target runs concurrently; 0 if it is
@@ -104,27 +151,66 @@
 
 // LeftUntil is the time of a leave without a start time, in Unix milliseconds, until the
 // start time is known; 0 otherwise. Incarnations that started by then have left.
-func (t Target) LeftUntil() int64 {
-	if t.left.ID == "" {
-		return 0
-	}
-	return t.left.ReceivedAt.UnixMilli()
-}
+func (t Target) LeftUntil() int64 { return t.until }
 
 // Is reports whether the target is this incarnation.
 func (t Target) Is(id string, born int64) bool {
 	return t.State != Absent && t.Last.ID == id && t.Last.Born == born
 }
 
+// WithHistory returns the state once the leaves are known that earlier processes of the
+// node acknowledged, and whether it changed. It applies the announcement that was held
+// back.
+func (t Target) WithHistory(now time.Time, left []Leave) (Target, bool) {
+	if !t.awaitsHistory {
+		return t, false
+	}
+	for _, l := range left {
+		t = t.remember(l, time.Time{})
+	}
+	pending := t.pending
+	t.awaitsHistory, t.pending = false, nil
+	changed := false
+	if t.State == Ready && t.covers(now, t.Last.ID, t.Last.Born) {
+		t.State, changed = Gone, true
+	}
+	if pending == nil {
+		return t, changed
+	}
+	next, applied := t.WithAnnouncement(now, *pending)
+	return next, applied || changed
+}
+
+// WithConfirmation returns the state after the target itself has confirmed that it does
+// not leave, and whether it changed. ID is that of the target. It applies the announcement
+// that was held back, if it is the target's; what else earlier processes acknowledged
+// stays unknown.
+func (t Target) WithConfirmation(now time.Time, id string) (Target, bool) {
+	if t.pending == nil || t.pending.ID != id {
+		return t, false
+	}
+	pending := *t.pending
+	t.awaitsHistory, t.pending = false, nil
+	next, changed := t.WithAnnouncement(now, pending)
+	next.awaitsHistory = true
+	return next, changed
+}
+
 // WithAnnouncement returns the state after an announcement that arrived at now,
 // and whether the incarnation, the state or the slots changed.
 func (t Target) WithAnnouncement(now time.Time, a Announcement) (Target, bool) {
-	if t.isLate(now, a) {
-		// The start time of the incarnation that left is known now. The leave
-		// is final for it.
-		t.Last, t.left = a, Leave{}
+	left := t.covers(now, a.ID, a.Born)
+	confirmed := t.State == Ready && t.Is(a.ID, a.Born)
+	if t.awaitsHistory && !left && !a.Leaving && !confirmed {
+		if t.pending == nil || a.newerThan(*t.pending) {
+			t.pending = &a
+		}
 		return t, false
 	}
+	if left || a.Leaving {
+		// The start time is known now, so that the leave is final for it.
+		t = t.remember(Leave{ID: a.ID, Born: a.Born}, time.Time{})
+	}
 	same := t.Is(a.ID, a.Born)
 	switch {
 	case !same && t.State != Absent && a.Born <= t.Last.Born:
@@ -132,28 +218,67 @@
 	case same && a.Sequence <= t.Last.Sequence:
 		return t, false
 	case !same:
-		return Target{Last: a, State: stateOf(a), FirstSeen: now, LastSeen: now}, true
+		return t.replaced(now, a, stateOf(a, left)), true
 	}
 	next := t
 	next.LastSeen = now
 	next.Last = a
 	if t.State == Ready {
-		next.State = stateOf(a)
+		next.State = stateOf(a, left)
 	}
 	return next, next.State != t.State || a.Slots != t.Last.Slots
 }
 
-func stateOf(a Announcement) State {
-	if a.Leaving {
+// newerThan reports whether an announcement comes from a later incarnation than another
+// one, or was sent later by the same.
+func (a Announcement) newerThan(b Announcement) bool {
+	if a.Born != b.Born {
+		return a.Born > b.Born
+	}
+	return a.Sequence > b.Sequence
+}
+
+func stateOf(a Announcement, left bool) State {
+	switch {
+	case left:
+		return Gone
+	case a.Leaving:
 		return Leaving
 	}
 	return Ready
 }
 
-// isLate reports whether an announcement belongs to the incarnation that left
-// before its start time was known.
-func (t Target) isLate(now time.Time, a Announcement) bool {
-	return t.left.ID != "" && t.left.ID == a.ID && a.Born <= t.left.ReceivedAt.UnixMilli() && now.Sub(t.FirstSeen) <= maxDelay
+// replaced returns the state of another incarnation.
+func (t Target) replaced(now time.Time, a Announcement, state State) Target {
+	t.Last, t.State, t.FirstSeen, t.LastSeen, t.until = a, state, now, now, 0
+	return t
+}
+
+// covers reports whether an incarnation is known to have left.
+func (t Target) covers(now time.Time, id string, born int64) bool {
+	for _, l := range t.leaves {
+		if l.Covers(id, born) && (l.expires.IsZero() || !now.After(l.expires)) {
+			return true
+		}
+	}
+	return false
+}
+
+// remember returns the state that knows a leave as well. Leaves of incarnations before
+// the present one are dropped, since these never replace it.
+func (t Target) remember(l Leave, expires time.Time) Target {
+	kept := make([]knownLeave, 0, len(t.leaves)+1)
+	for _, k := range t.leaves {
+		older := t.State != Absent && k.Born != 0 && k.Born < t.Last.Born
+		if !older && k.Leave != l {
+			kept = append(kept, k)
+		}
+	}
+	if len(kept) >= maxLeaves {
+		kept = kept[1:]
+	}
+	t.leaves = append(kept, knownLeave{l, expires})
+	return t
 }
 
 // WithLeaving returns the state after the target has said in an answer that this
@@ -162,6 +287,7 @@
 	if t.State != Ready || !t.Is(id, born) {
 		return t, false
 	}
+	t = t.remember(Leave{ID: id, Born: born}, time.Time{})
 	t.State, t.LastSeen = Leaving, now
 	return t, true
 }
@@ -170,15 +296,23 @@
 // changed.
 func (t Target) WithLeave(now time.Time, l Leave) (Target, bool) {
 	if t.State == Absent {
-		gone := Target{Last: Announcement{ID: l.ID, Born: l.Born}, State: Gone, FirstSeen: now, LastSeen: now}
-		if l.Born == 0 {
-			gone.left = l
-		}
-		return gone, true
+		return t.withUnheard(now, l), true
 	}
 	if t.Last.ID != l.ID || (l.Born != 0 && l.Born != t.Last.Born) || t.State == Gone {
 		return t, false
 	}
+	t = t.remember(Leave{ID: l.ID, Born: t.Last.Born}, time.Time{})
 	t.State, t.LastSeen = Gone, now
 	return t, true
 }
+
+// withUnheard returns the state after a leave of an incarnation that has not been heard
+// of before.
+func (t Target) withUnheard(now time.Time, l Leave) Target {
+	t = t.replaced(now, Announcement{ID: l.ID, Born: l.Born}, Gone)
+	if l.Born != 0 {
+		return t.remember(l, time.Time{})
+	}
+	t.until = l.ReceivedAt.UnixMilli()
+	return t.remember(l, now.Add(maxDelay))
+}
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -337,6 +337,9 @@
 	ParseReply(status int, h http.Header) ReplyInfo
 	// Refusal returns the response to a request that the node itself refuses. id may
 	// be empty, and after is when a retry makes sense.
+	// ParseHealth returns the ID of the target that gave this answer to a health check,
+	// or "" unless the target is healthy and does not leave.
+	ParseHealth(status int, h http.Header) string
 	Refusal(id string, status int, after time.Duration, reason failure.Reason) *httpconn.Response
 }
 
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -136,6 +136,9 @@
 // NewPool returns an empty pool for an address.
 func NewPool(address string, o Options) *Pool { return &Pool{address: address, options: o} }
 
+// Address is the address that the pool connects to.
+func (p *Pool) Address() string { return p.address }
+
 // Dials is the number of connection attempts so far, failed ones included.
 func (p *Pool) Dials() uint64 {
 	p.mu.Lock()
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +15,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/departure"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/rejection"
 	"chestnutshed.example/chestnutshed/internal/policy/admission"
@@ -56,6 +59,9 @@
 	// carry it, are at most seconds late.
 	syncInterval = 25 * time.Millisecond
 	syncWindow   = time.Minute
+	// answeredLeaveTimeout is how long a leave that the target said in an answer may take
+	// to be kept before that is logged.
+	answeredLeaveTimeout = 2 * time.Second
 	// rationingInterval is the time between updates of which calls may be retried.
 	rationingInterval = 100 * time.Millisecond
 	// unavailableRetryAfter is the Retry-After for calls to a target that is
@@ -102,14 +108,13 @@
 	// can be attributed to it.
 	suspectSlot chan struct{}
 	draining    bool
-	// pending is the latest announcement received before the process was synced. It
-	// is applied afterwards.
-	pending    *lifecycle.Announcement
-	startedAt  time.Time
-	backlogged func() bool
-	synced     func(now time.Time) bool
-	hasLeft    func(instance string, born int64) bool
-	lastID     atomic.Uint64
+	startedAt   time.Time
+	backlogged  func() bool
+	synced      func(now time.Time) bool
+	hasLeft     func(instance string, born int64) bool
+	departures  *departure.Service
+	health      *healthCheck
+	lastID      atomic.Uint64
 
 	sends, refusals, losses, crashCount *metrics.Counter
 	duration                            *metrics.Histogram
@@ -141,6 +146,11 @@
 	// its leave to one of them.
 	Synced  func(now time.Time) bool
 	HasLeft func(instance string, born int64) bool
+	// HealthPath returns the path of the health check of a service's targets; "" if there
+	// is none or it is not known.
+	HealthPath func(service string) string
+	// Departures keeps the leaves of the target over restarts.
+	Departures *departure.Service
 	// Quarantine knows the requests that crash targets.
 	Quarantine *quarantine.Service
 	// Rejections knows which services reject calls at their targets.
@@ -155,7 +165,7 @@
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
 		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), rationing: rationing.New(), rejections: o.Rejections, targetCount: o.TargetCount, downstream: o.Downstream,
-		startedAt: clock.Now(), backlogged: o.Backlogged, synced: o.Synced, hasLeft: o.HasLeft,
+		startedAt: clock.Now(), backlogged: o.Backlogged, synced: o.Synced, hasLeft: o.HasLeft, departures: o.Departures, health: newHealthCheck(o.Address, o.HealthPath), target: lifecycle.AwaitingHistory(),
 		overload: overload.New(admission.Sidecar()), waiting: map[uint64]chan decision{}, serviceTimes: latency.New(clock.Now()),
 		runningCalls: correlation.New(clock.Now()), crashes: newCrashDetector(o.Address),
 		quarantine: o.Quarantine, suspectSlot: make(chan struct{}, 1),
@@ -181,49 +191,66 @@
 	return s
 }
 
-// Announce applies an announcement of the target. Until the process is synced, an
-// announcement of a target that accepts work is kept back: it may be older than a
-// leave that an earlier process acknowledged.
-func (s *Service) Announce(now time.Time, a lifecycle.Announcement) {
-	if !a.Leaving && !s.synced(now) {
-		s.mu.Lock()
-		s.pending = &a
-		s.mu.Unlock()
-		return
-	}
-	if !a.Leaving && s.hasLeft(a.ID, a.Born) {
+// Announce applies an announcement of the target. The error of one that says that the
+// target leaves means that the leave is not kept yet.
+func (s *Service) Announce(ctx context.Context, now time.Time, a lifecycle.Announcement) error {
+	leaves := a.Leaving
+	if !leaves && s.hasLeft(a.ID, a.Born) {
 		a.Leaving = true
 	}
 	s.update(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithAnnouncement(now, a) })
+	if !leaves {
+		return nil
+	}
+	return s.keepLeave(ctx, lifecycle.Leave{ID: a.ID, Born: a.Born})
 }
 
-// applyPending applies the announcement that was kept back, once the process is
-// synced. It also stops work for a target whose leave became known only after its
-// announcement was applied.
-func (s *Service) applyPending(now time.Time) {
-	if now.Sub(s.startedAt) > syncWindow {
-		return
+// Deregister marks the target as leaving, after which it gets no new calls. An error means
+// that the leave is not kept yet.
+func (s *Service) Deregister(ctx context.Context, now time.Time, l lifecycle.Leave) error {
+	s.update(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithLeave(now, l) })
+	return s.keepLeave(ctx, l)
+}
+
+// keepLeave keeps a leave for the node's next processes.
+func (s *Service) keepLeave(ctx context.Context, l lifecycle.Leave) error {
+	if err := s.departures.Keep(ctx, time.Now(), l); err != nil {
+		return fmt.Errorf("keep leave of target %s: %w", l.ID, err)
 	}
-	s.mu.Lock()
-	pending, target := s.pending, s.target
-	s.mu.Unlock()
-	if pending != nil && s.synced(now) {
-		s.mu.Lock()
-		s.pending = nil
-		s.mu.Unlock()
-		s.Announce(now, *pending)
+	return nil
+}
+
+// applyHistory tells the target's state which leaves earlier processes of the node
+// acknowledged, once they are known. It also stops work for a target whose leave became
+// known only after its announcement was applied.
+func (s *Service) applyHistory(now time.Time) {
+	target := s.Target()
+	if target.AwaitsHistory() && s.synced(now) {
+		s.learnHistory(now, target)
+		return
 	}
-	if target.State == lifecycle.Ready && s.hasLeft(target.Last.ID, target.Last.Born) {
-		s.Deregister(now, lifecycle.Leave{ID: target.Last.ID, Born: target.Last.Born})
+	if now.Sub(s.startedAt) <= syncWindow && target.State == lifecycle.Ready && s.hasLeft(target.Last.ID, target.Last.Born) {
+		s.update(now, func(t lifecycle.Target) (lifecycle.Target, bool) {
+			return t.WithLeave(now, lifecycle.Leave{ID: target.Last.ID, Born: target.Last.Born})
+		})
 	}
 }
 
-// Deregister marks the target as leaving, after which it gets no new calls.
-func (s *Service) Deregister(now time.Time, l lifecycle.Leave) {
-	s.update(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithLeave(now, l) })
+// learnHistory applies the leaves that earlier processes kept and those that peers know.
+func (s *Service) learnHistory(now time.Time, target lifecycle.Target) {
+	left, known := s.departures.Left()
+	if !known {
+		s.confirm(now, target)
+		return
+	}
+	if a, ok := target.Pending(); ok && s.hasLeft(a.ID, a.Born) {
+		left = append(slices.Clone(left), lifecycle.Leave{ID: a.ID, Born: a.Born})
+	}
+	s.update(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithHistory(now, left) })
 }
 
-func (s *Service) update(now time.Time, f func(lifecycle.Target) (lifecycle.Target, bool)) {
+// update changes the target's state and reports whether it changed.
+func (s *Service) update(now time.Time, f func(lifecycle.Target) (lifecycle.Target, bool)) bool {
 	s.mu.Lock()
 	before := s.target
 	next, changed := f(before)
@@ -240,13 +267,14 @@
 	}
 	s.mu.Unlock()
 	if !changed {
-		return
+		return false
 	}
 	s.log.WithFields(logrus.Fields{
 		"target": next.Last.ID, "born": next.Last.Born, "sequence": next.Last.Sequence,
 		"was": before.State.String(), "state": next.State.String(), "slots": next.Slots(),
 	}).Info("target state changed")
 	s.onChange(next)
+	return true
 }
 
 // slots returns the number of usable slots: none once the node drains.
@@ -541,7 +569,7 @@
 		s.mu.Unlock()
 		s.updateRationing(now)
 	})
-	k.Every(syncInterval, func(context.Context) { s.applyPending(clock.Now()) })
+	k.Every(syncInterval, func(context.Context) { s.applyHistory(clock.Now()) })
 	return nil
 }
 
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -86,7 +86,10 @@
 	reply := s.dialect.ParseReply(resp.Status, resp.Header)
 	s.recordLimit(now, began, c, reply.Limit)
 	if reply.Leaving {
-		s.update(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithLeaving(now, c.Instance, c.Born) })
+		left := func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithLeaving(now, c.Instance, c.Born) }
+		if s.update(now, left) {
+			go s.keepAnsweredLeave(lifecycle.Leave{ID: c.Instance, Born: c.Born})
+		}
 	}
 	s.recordResult(reply.NotRun)
 	if reply.NotRun || reply.WrongTarget {
@@ -100,6 +103,16 @@
 	return call.Answered{Response: resp, InnerFailed: inner}
 }
 
+// keepAnsweredLeave keeps a leave that a target has said in an answer, which nobody waits
+// for.
+func (s *Service) keepAnsweredLeave(l lifecycle.Leave) {
+	ctx, cancel := context.WithTimeout(context.Background(), answeredLeaveTimeout)
+	defer cancel()
+	if err := s.keepLeave(ctx, l); err != nil {
+		s.log.WithError(err).WithField("target", l.ID).Warn("leave said in an answer not kept yet")
+	}
+}
+
 // reserveRetry sets RetryGranted in the outcome of a failed call that may be retried, if
 // the retry budget allows another attempt.
 func (s *Service) reserveRetry(c call.Call, o call.Outcome) call.Outcome {
