lifecycle: a leave that overtakes the first heartbeat counts

A target that was back under a new ID signed off before its first heartbeat arrived.

Cause: WithLeave dropped a leave of any incarnation but the one it knew. Ruled out: other nodes that send on old knowledge.

A target's state remembers such leaves.

Before: TestLeaveOvertakesFirstHeartbeat and TestLeaveIsFinal fail.

--- a/internal/policy/lifecycle/lifecycle.go
+++ b/internal/policy/lifecycle/lifecycle.go
@@ -293,26 +293,23 @@
 }
 
 // WithLeave returns the state after a leave that arrived at now, and whether it
-// changed.
+// changed. A leave may arrive before the first announcement of its incarnation.
 func (t Target) WithLeave(now time.Time, l Leave) (Target, bool) {
-	if t.State == Absent {
-		return t.withUnheard(now, l), true
+	expires := time.Time{}
+	if l.Born == 0 {
+		expires = now.Add(maxDelay)
 	}
-	if t.Last.ID != l.ID || (l.Born != 0 && l.Born != t.Last.Born) || t.State == Gone {
+	t = t.remember(l, expires)
+	switch {
+	case t.State == Absent, l.Born > t.Last.Born:
+		t = t.replaced(now, Announcement{ID: l.ID, Born: l.Born}, Gone)
+		if l.Born == 0 {
+			t.until = l.ReceivedAt.UnixMilli()
+		}
+		return t, true
+	case t.Last.ID != l.ID || (l.Born != 0 && l.Born != t.Last.Born) || t.State == Gone:
 		return t, false
 	}
-	t = t.remember(Leave{ID: l.ID, Born: t.Last.Born}, time.Time{})
 	t.State, t.LastSeen = Gone, now
-	return t, true
-}
-
-// withUnheard returns the state after a leave of an incarnation that has not been heard
-// of before.
-func (t Target) withUnheard(now time.Time, l Leave) Target {
-	t = t.replaced(now, Announcement{ID: l.ID, Born: l.Born}, Gone)
-	if l.Born != 0 {
-		return t.remember(l, time.Time{})
-	}
-	t.until = l.ReceivedAt.UnixMilli()
-	return t.remember(l, now.Add(maxDelay))
+	return t.remember(Leave{ID: l.ID, Born: t.Last.Born}, time.Time{}), true
 }
