quota: a holder that may have a successor gives up its claim

The holder of the quotas was cut off while the other processes were killed.

Cause: it filled its buckets while cut off, and its epoch was greater than that of its successor, whose electors had restarted. The fallback share of a node that they had not met came on top. Ruled out: tokens drawn before the change, which the successor counts.

A holder gives up claim and buckets when it hears of nobody for 0.9 s, was paused, reaches no majority or hears of another holder. Nodes of the directory that were not met count as missing. The holder grants 1.06 of the rate, since fallback shares are spent before it notices that nodes are missing.

--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -7,6 +7,11 @@
 // buckets, so a change of holder never grants a burst twice. A node that gets no
 // answer from the holder spends from a small fallback share. The fallback shares
 // and the holder's grants together stay within the tolerated overage.
+//
+// The other nodes may elect a successor once they have not heard of the holder for
+// about a second. So a holder gives up its claim when it has not heard of them for
+// almost as long, was paused, reaches no majority, or hears of another holder. It
+// may be elected again like any other node.
 package quota
 
 import (
@@ -33,6 +38,20 @@
 	// electionDelay is how long a node runs before it may become holder. By then
 	// it has learned of an existing holder.
 	electionDelay = 1200 * time.Millisecond
+	// lapseTime is how long a holder keeps its claim without a message from another
+	// node, and through a pause of its process. It is below the time after which
+	// others suspect the holder, and below electionDelay, after which nodes that have
+	// restarted elect one.
+	lapseTime = 900 * time.Millisecond
+	// bumpDelay is how long a holder knows of a greater epoch before it raises its own.
+	// The claim of a holder with that epoch would have arrived by then.
+	bumpDelay = 500 * time.Millisecond
+	// settleTime is how long after an election all nodes that hear of it draw from the
+	// holder. Nodes that still use their fallback share then can't hear it.
+	settleTime = time.Second
+	// deafRetention is how long a node counts as using its fallback share after it has
+	// said so.
+	deafRetention = 3 * time.Second
 	// drawInterval is the minimum time between draws from the holder.
 	drawInterval = 20 * time.Millisecond
 	// drawRetryDelay is when an unanswered draw is sent again: several round trips
@@ -59,9 +78,11 @@
 	restartFraction = 1.0
 	// fallbackBurst is the maximum number of tokens in a node's fallback share.
 	fallbackBurst = 2
-	// tolerance is the factor on rate and burst that the platform's bounds permit.
-	// The bounds permit some tokens more, which are left as a margin.
-	tolerance = 1.1
+	// tolerance is the factor on rate and burst that the platform's bounds permit, and
+	// rateTolerance the factor on the rate that the holder grants. The difference is left
+	// for the fallback shares of nodes that the holder does not know to be cut off yet.
+	tolerance     = 1.1
+	rateTolerance = 1.06
 	// reservedFraction is the fraction of the burst that requests below the highest
 	// rank leave unused, because callers that retry failed lookups would otherwise
 	// use up the rate first. They may use the full rate while the bucket holds more
@@ -75,6 +96,10 @@
 type Fleet interface {
 	Self() member.Record
 	Running(now time.Time) (ids []string, known int)
+	// Unmet is the number of nodes in the directory that this process has not met.
+	Unmet(now time.Time) int
+	// LastContact is when a message from another node last arrived; zero for never.
+	LastContact() time.Time
 	Silent(now time.Time, id string) bool
 	Get(id string) (member.Record, bool)
 	Send(now time.Time, id, topic string, body any) error
@@ -84,10 +109,36 @@
 type claim struct {
 	Epoch  uint64 `json:"e"`
 	Holder string `json:"h"`
+	// Resigned is set once the holder has given up the claim.
+	Resigned bool `json:"r,omitempty"`
 }
 
+// active reports whether the claim has a holder that has not given it up.
+func (c claim) active() bool { return c.Holder != "" && !c.Resigned }
+
+// supersedes reports whether a node that knows claim o adopts c. A claim that was given
+// up replaces an active one only if both are the same.
 func (c claim) supersedes(o claim) bool {
-	return c.Epoch > o.Epoch || (c.Epoch == o.Epoch && c.Holder < o.Holder)
+	switch {
+	case c.Epoch == o.Epoch && c.Holder == o.Holder:
+		return c.Resigned && !o.Resigned
+	case c.Resigned && o.active():
+		return false
+	case c.Epoch != o.Epoch:
+		return c.Epoch > o.Epoch
+	case c.Resigned != o.Resigned:
+		return o.Resigned
+	}
+	return c.Holder < o.Holder
+}
+
+// note is what a node tells others about the holder.
+type note struct {
+	claim
+	// Seen is the greatest epoch that the node knows of.
+	Seen uint64 `json:"s,omitempty"`
+	// Fallback is set while the node knows of no holder and uses its fallback share.
+	Fallback bool `json:"f,omitempty"`
 }
 
 // class selects a token cache: the requests of an organisation that have the
@@ -116,6 +167,8 @@
 	SentAt int64     `json:"at"`
 	Draws  []request `json:"draws,omitempty"`
 	Grants []grant   `json:"grants,omitempty"`
+	// Successor is set in the message of a new holder to the former one.
+	Successor string `json:"heir,omitempty"`
 }
 
 // cache holds the tokens that this node has drawn for one class.
@@ -139,18 +192,32 @@
 	log    *logrus.Entry
 	now    func() time.Time
 
-	mu          sync.Mutex
-	started     time.Time
-	claim       claim
+	mu sync.Mutex
+	// electableFrom is when this node may become holder. By then it has learned of an
+	// existing one.
+	electableFrom time.Time
+	claim         claim
+	// seen is the greatest epoch of any claim that this node has heard of. After a
+	// restart of other nodes their epochs may be lower.
+	seen uint64
+	// lastActive is when this process last ran a step or handled a request.
+	lastActive  time.Time
 	buckets     map[string]*bucket.Bucket
 	caches      map[class]*cache
 	fallbacks   map[string]fallback
 	lastDraw    time.Time
 	drawPending bool
+	// alone is set while no other node is known.
+	alone bool
+	// heldSince is when this node became holder. Deaf are the nodes that use their fallback
+	// share although they are reached, with the time when they last said so.
+	heldSince time.Time
+	deaf      map[string]time.Time
+	// behindSince is since when a holder knows of an epoch greater than its own; zero if
+	// it knows of none.
+	behindSince time.Time
 	// missingFraction is the fraction of the known nodes that this node can't reach.
 	missingFraction float64
-	// minority is set while this node reaches too few nodes to be holder.
-	minority bool
 	// unansweredSince is when the first draw since the last answer was sent; zero
 	// if none is outstanding.
 	unansweredSince time.Time
@@ -161,8 +228,8 @@
 // New returns a service that has no holder yet; now is its clock.
 func New(now func() time.Time, fleet Fleet, config *confsync.Service, log *logrus.Entry) *Service {
 	return &Service{
-		fleet: fleet, config: config, log: log, now: now, started: now(),
-		buckets: map[string]*bucket.Bucket{}, caches: map[class]*cache{}, fallbacks: map[string]fallback{},
+		fleet: fleet, config: config, log: log, now: now, electableFrom: now().Add(electionDelay), lastActive: now(),
+		buckets: map[string]*bucket.Bucket{}, caches: map[class]*cache{}, fallbacks: map[string]fallback{}, deaf: map[string]time.Time{},
 	}
 }
 
@@ -189,6 +256,7 @@
 		return Taken
 	}
 	s.mu.Lock()
+	s.checkLapse(now)
 	p := s.cacheOf(class{org.Name, rank > 0})
 	p.CountDemand(now)
 	if p.Spend(now) {
@@ -224,8 +292,10 @@
 		case <-ctx.Done():
 			again = false
 		}
+		current := s.now()
 		s.mu.Lock()
-		result, refilled = s.retry(s.now(), now, org, p)
+		s.checkLapse(current)
+		result, refilled = s.retry(current, now, org, p)
 		again = again && result == Exceeded && p.exhaustedAt.Before(now)
 		s.mu.Unlock()
 	}
@@ -252,7 +322,7 @@
 // holderUnavailable reports whether there is no usable holder, or draws have been
 // unanswered for longer than holderTimeout. The mutex is held.
 func (s *Service) holderUnavailable(now time.Time) bool {
-	if s.claim.Holder == "" || s.lostMajority() {
+	if !s.claim.active() {
 		return true
 	}
 	return !s.unansweredSince.IsZero() && now.Sub(s.unansweredSince) > holderTimeout
@@ -261,17 +331,36 @@
 // probesHolder reports whether a request is to wait for a holder that leaves draws
 // unanswered, to find out whether it still does. The mutex is held.
 func (s *Service) probesHolder(now time.Time) bool {
-	if s.claim.Holder == "" || s.lostMajority() || now.Sub(s.probedAt) < probeInterval {
+	if !s.claim.active() || now.Sub(s.probedAt) < probeInterval {
 		return false
 	}
 	s.probedAt = now
 	return true
 }
 
-// lostMajority reports whether this node is the holder but no longer reaches a
-// majority, which may have elected another. The mutex is held.
-func (s *Service) lostMajority() bool {
-	return s.minority && s.claim.Holder == s.fleet.Self().ID
+// holds reports whether this node is the holder. The mutex is held.
+func (s *Service) holds() bool { return s.claim.active() && s.claim.Holder == s.fleet.Self().ID }
+
+// checkLapse gives up this node's claim, and delays its next election, if others may
+// have elected a successor without its knowledge: the process was paused, or it has
+// heard of nobody. It must run before anything is granted. The mutex is held.
+func (s *Service) checkLapse(now time.Time) {
+	paused := now.Sub(s.lastActive) >= lapseTime
+	s.lastActive = now
+	if paused || (!s.alone && now.Sub(s.fleet.LastContact()) >= lapseTime) {
+		s.electableFrom = now.Add(electionDelay)
+		s.resign("no contact", paused)
+	}
+}
+
+// resign gives up this node's claim, if it has one. The mutex is held.
+func (s *Service) resign(reason string, paused bool) {
+	if !s.holds() {
+		return
+	}
+	s.log.WithFields(logrus.Fields{"epoch": s.claim.Epoch, "reason": reason, "paused": paused}).Warn("claim to hold the quotas given up")
+	s.claim.Resigned = true
+	clear(s.buckets)
 }
 
 // takeFallback spends a token of this node's fallback share. The mutex is held.
@@ -281,7 +370,7 @@
 	if s.claim.Epoch == 0 && len(ids) > 1 {
 		fraction = restartFraction
 	}
-	rate := org.Rate * fraction / float64(max(known, 2))
+	rate := org.Rate * fraction / float64(max(known+s.fleet.Unmet(now), 2))
 	own, ok := s.fallbacks[org.Name]
 	if !ok {
 		own.tokens = 1
@@ -337,6 +426,7 @@
 func (s *Service) request(now time.Time) {
 	self := s.fleet.Self().ID
 	s.mu.Lock()
+	s.checkLapse(now)
 	s.drawPending, s.lastDraw = false, now
 	holder := s.claim
 	m := message{Epoch: holder.Epoch, SentAt: now.UnixNano()}
@@ -355,7 +445,7 @@
 	if again && holder.Holder != self {
 		s.scheduleDrawAfter(drawRetryDelay)
 	}
-	if len(m.Draws) == 0 || holder.Holder == "" || s.lostMajority() {
+	if len(m.Draws) == 0 || !holder.active() {
 		s.mu.Unlock()
 		return
 	}
@@ -396,7 +486,7 @@
 // limits. Unreachable nodes may be partitioned and spend their fallback shares,
 // which are subtracted here. The mutex is held.
 func (s *Service) bucketOf(now time.Time, org *rules.Organisation) *bucket.Bucket {
-	limits := bucket.Limits{Rate: org.Rate * (tolerance - fallbackFraction*s.missingFraction), Burst: org.Burst * tolerance}
+	limits := bucket.Limits{Rate: org.Rate * (rateTolerance - fallbackFraction*s.missingFraction), Burst: org.Burst * tolerance}
 	p, ok := s.buckets[org.Name]
 	if !ok {
 		p = bucket.New(now, limits, bucket.Exclusive)
@@ -434,12 +524,21 @@
 		return
 	}
 	s.mu.Lock()
+	s.checkLapse(now)
+	if m.Successor != "" {
+		s.seen = max(s.seen, m.Epoch)
+		if c := (claim{Epoch: m.Epoch, Holder: m.Successor}); c.supersedes(s.claim) {
+			s.follow(c)
+		}
+		s.mu.Unlock()
+		return
+	}
 	if len(m.Draws) == 0 {
 		s.receive(now, m)
 		s.mu.Unlock()
 		return
 	}
-	if s.claim.Holder != s.fleet.Self().ID || s.minority {
+	if !s.holds() {
 		s.mu.Unlock()
 		return
 	}
@@ -454,10 +553,7 @@
 func (s *Service) Note() json.RawMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.claim.Holder == "" {
-		return nil
-	}
-	text, err := json.Marshal(s.claim)
+	text, err := json.Marshal(note{s.claim, s.seen, !s.claim.active()})
 	if err != nil {
 		s.log.WithError(err).Error("encoding quota holder claim failed")
 		return nil
@@ -466,23 +562,37 @@
 }
 
 // Noted implements roster.Topic.
-func (s *Service) Noted(_ time.Time, from string, note json.RawMessage) {
-	var c claim
-	if err := json.Unmarshal(note, &c); err != nil {
+func (s *Service) Noted(now time.Time, from string, text json.RawMessage) {
+	var n note
+	if err := json.Unmarshal(text, &n); err != nil {
 		s.log.WithError(err).WithField("peer", from).Warn("decoding quota holder claim failed")
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.supersedes(s.claim) {
-		s.follow(c)
+	s.checkLapse(now)
+	s.seen = max(s.seen, n.Seen, n.Epoch)
+	if n.Fallback && s.holds() && now.Sub(s.heldSince) >= settleTime {
+		s.deaf[from] = now
+	} else {
+		delete(s.deaf, from)
+	}
+	own := n.active() && n.Holder == from && n.Holder != s.claim.Holder
+	switch {
+	case n.supersedes(s.claim), own && !s.claim.active():
+		s.follow(n.claim)
+	case own && s.holds():
+		// The other holder may not hear this node, and goes on granting.
+		s.resign("another holder", false)
+		s.electableFrom = now.Add(electionDelay)
+		s.follow(n.claim)
 	}
 }
 
 // follow switches to another holder. Grants of this node stay valid until the
 // tokens expire, which the next holder accounts for. The mutex is held.
 func (s *Service) follow(c claim) {
-	s.log.WithFields(logrus.Fields{"holder": c.Holder, "epoch": c.Epoch, "was": s.claim.Holder}).Info("quota holder changed")
+	s.log.WithFields(logrus.Fields{"holder": c.Holder, "epoch": c.Epoch, "resigned": c.Resigned, "was": s.claim.Holder}).Info("quota holder changed")
 	s.claim, s.unansweredSince = c, time.Time{}
 	clear(s.buckets)
 }
@@ -494,16 +604,66 @@
 	ids, known := s.fleet.Running(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.minority = 2*len(ids) <= known
-	s.missingFraction = float64(max(known-len(ids), 0)) / float64(max(known, 1))
+	size := max(known+s.fleet.Unmet(now), 1)
+	s.alone = size == 1
+	s.checkLapse(now)
+	minority := 2*len(ids) <= known
+	s.missingFraction = float64(min(max(size-len(ids), 0)+s.countDeaf(now, ids), size)) / float64(size)
+	if minority {
+		s.resign("no majority", false)
+	}
+	s.raiseEpoch(now)
 	s.refillBuckets(now, self.ID)
-	if now.Sub(s.started) < electionDelay || self.Leaving || s.holderAlive(now) {
+	if now.Before(s.electableFrom) || self.Leaving || s.holderAlive(now) {
 		return
 	}
-	if len(ids) == 0 || ids[0] != self.ID || s.minority {
+	if len(ids) == 0 || ids[0] != self.ID || minority {
+		return
+	}
+	former := s.claim.Holder
+	s.heldSince = now
+	clear(s.deaf)
+	s.seen++
+	s.follow(claim{Epoch: s.seen, Holder: self.ID})
+	s.notifyFormer(now, former)
+}
+
+// countDeaf returns how many of the reachable nodes use their fallback share. The mutex is
+// held.
+func (s *Service) countDeaf(now time.Time, reachable []string) int {
+	n := 0
+	for _, id := range reachable {
+		if at, ok := s.deaf[id]; ok && now.Sub(at) <= deafRetention {
+			n++
+		}
+	}
+	return n
+}
+
+// raiseEpoch raises the epoch of the holder above others that are still remembered, such
+// as that of a claim that was given up while its node was cut off and the others restarted.
+// The mutex is held.
+func (s *Service) raiseEpoch(now time.Time) {
+	switch {
+	case !s.holds() || s.seen <= s.claim.Epoch:
+		s.behindSince = time.Time{}
+	case s.behindSince.IsZero():
+		s.behindSince = now
+	case now.Sub(s.behindSince) >= bumpDelay:
+		s.seen++
+		s.claim.Epoch, s.behindSince = s.seen, time.Time{}
+	}
+}
+
+// notifyFormer tells the former holder at once that it has a successor, in case it still
+// runs. The mutex is held.
+func (s *Service) notifyFormer(now time.Time, former string) {
+	if former == "" || former == s.fleet.Self().ID {
 		return
 	}
-	s.follow(claim{Epoch: s.claim.Epoch + 1, Holder: self.ID})
+	if err := s.fleet.Send(now, former, Name, message{Epoch: s.claim.Epoch, Successor: s.claim.Holder}); err != nil {
+		s.log.WithError(err).Debug("former quota holder not notified")
+	}
 }
 
 // refillBuckets creates and refills the buckets of all organisations on the
@@ -511,7 +671,7 @@
 // held.
 func (s *Service) refillBuckets(now time.Time, self string) {
 	c := s.config.Get()
-	if c == nil || s.claim.Holder != self {
+	if c == nil || !s.claim.active() || s.claim.Holder != self {
 		return
 	}
 	for i := range c.Rules.Organisations {
@@ -523,7 +683,7 @@
 
 // holderAlive reports whether the holder is considered running. The mutex is held.
 func (s *Service) holderAlive(now time.Time) bool {
-	if s.claim.Holder == "" {
+	if !s.claim.active() {
 		return false
 	}
 	if s.claim.Holder == s.fleet.Self().ID {
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -51,8 +51,9 @@
 	network *network
 	id      string
 	service *quota.Service
-	// isolate drops messages from and to the node.
-	isolate bool
+	// isolate drops messages from and to the node, from isolatedAt on.
+	isolate    bool
+	isolatedAt time.Time
 	// mute drops messages of the service, while the node counts as running.
 	mute bool
 }
@@ -79,6 +80,17 @@
 	return ids, len(n.network.nodes)
 }
 
+func (n *node) Unmet(time.Time) int { return 0 }
+
+func (n *node) LastContact() time.Time {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	if n.isolate {
+		return n.isolatedAt
+	}
+	return time.Now()
+}
+
 func (n *node) Get(id string) (member.Record, bool) { return member.Record{ID: id}, true }
 
 func (n *node) Send(_ time.Time, id, _ string, body any) error {
@@ -111,7 +123,7 @@
 func (w *network) isolate(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.nodes[id].isolate = true
+	w.nodes[id].isolate, w.nodes[id].isolatedAt = true, time.Now()
 }
 
 // isolateThird isolates the last four of twelve nodes, one by one.
--- a/internal/fleet/roster/exchange.go
+++ b/internal/fleet/roster/exchange.go
@@ -290,6 +290,7 @@
 		}).Info("member record changed")
 	}
 	s.detector.MessageReceived(now, p.From)
+	s.lastContact.Store(now.UnixNano())
 	if s.contacted.IsZero() {
 		s.contacted = now
 	}
--- a/internal/fleet/roster/join.go
+++ b/internal/fleet/roster/join.go
@@ -81,10 +81,8 @@
 	if err != nil {
 		return fmt.Errorf("list nodes: %w", err)
 	}
-	s.mu.Lock()
-	s.listed = len(listed)
-	s.mu.Unlock()
 	now, introduced := clock.Now(), 0
+	s.recordListed(now, listed)
 	for name, value := range listed {
 		var r member.Record
 		if err := json.Unmarshal(value, &r); err != nil || r.Datagrams == "" || r.ID == "" {
@@ -107,6 +105,29 @@
 	return nil
 }
 
+// recordListed records which nodes the directory has, and which of them are not known.
+func (s *Service) recordListed(now time.Time, listed map[string][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed, s.directoryRead = len(listed), true
+	before := s.unmet
+	s.unmet = map[string]time.Time{}
+	for name, value := range listed {
+		var r member.Record
+		if name == s.node || json.Unmarshal(value, &r) != nil || r.Address == "" {
+			continue
+		}
+		if _, met := s.table.At(r.Address); met {
+			continue
+		}
+		since, ok := before[r.Address]
+		if !ok {
+			since = now
+		}
+		s.unmet[r.Address] = since
+	}
+}
+
 // removable reports whether the node of an entry has not been alive for
 // removeAfter.
 func (s *Service) removable(now time.Time, r member.Record) bool {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -132,9 +132,14 @@
 	// table.
 	serving        map[string][]Serving
 	servingVersion uint64
-	// listed is the number of entries at the last read of the directory.
-	listed   int
-	lastTick time.Time
+	// listed is the number of entries at the last read of the directory, and unmet the
+	// addresses there that were not known, with the time when they were first read.
+	listed        int
+	directoryRead bool
+	unmet         map[string]time.Time
+	lastTick      time.Time
+	// lastContact is when a datagram last arrived, in nanoseconds by the node's clock.
+	lastContact atomic.Int64
 	// started is when this process started, contacted when it received its
 	// first datagram.
 	started, contacted time.Time
@@ -158,7 +163,7 @@
 	return &Service{
 		node: o.Node, directory: d, config: config, log: log, conn: conn, topics: map[string]Topic{},
 		table: member.New(now, self), detector: liveness.New(now), lastTick: now, started: now,
-		serving: map[string][]Serving{},
+		serving: map[string][]Serving{}, unmet: map[string]time.Time{},
 	}, nil
 }
 
@@ -324,6 +329,33 @@
 	return ids, known
 }
 
+// Unmet returns the number of nodes in the directory that this process has not met and
+// that may be cut off. They count for quorumRetention. It is 1 until the directory has
+// been read.
+func (s *Service) Unmet(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.directoryRead {
+		return 1
+	}
+	n := 0
+	for address, since := range s.unmet {
+		if _, met := s.table.At(address); !met && now.Sub(since) <= quorumRetention {
+			n++
+		}
+	}
+	return n
+}
+
+// LastContact returns when a datagram of another node last arrived; zero for never.
+func (s *Service) LastContact() time.Time {
+	at := s.lastContact.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
+}
+
 // ConfirmRank implements confsync.Fleet.
 func (s *Service) ConfirmRank(now time.Time) int {
 	s.mu.Lock()
