httpconn: answers without end leave memory for those of sound targets

Operators of another system reported a process that ran out of memory on bytes without end. Nodes here keep their memory. But answers that begin with megabytes and then trickle held the budget for large answers until the route's timeout, and whole answers of sound targets failed with 502. An operators' command took 167 MB and more for one endless answer.

Cause: a budget that is first come, first served; one limit for all answers of operators' commands. A body now takes the share of the largest other one if that is more than twice as large.

--- a/internal/operate/nodeclient/nodeclient.go
+++ b/internal/operate/nodeclient/nodeclient.go
@@ -30,8 +30,10 @@
 	// maxConcurrent is the maximum number of concurrent calls.
 	maxConcurrent = 64
 	// maxResponseSize is the maximum size of a response, in bytes. The state dump is
-	// the largest.
-	maxResponseSize = 64 << 20
+	// the largest: below 1 KB for each node of the fleet.
+	maxResponseSize = 16 << 20
+	// maxSmallSize is that of responses without a dump.
+	maxSmallSize = 64 << 10
 )
 
 // Client calls nodes.
@@ -58,10 +60,11 @@
 }
 
 func (c *Client) get(ctx context.Context, address, path string) ([]byte, error) {
-	return c.do(ctx, http.MethodGet, address, path)
+	return c.do(ctx, http.MethodGet, address, path, maxResponseSize)
 }
 
-func (c *Client) do(ctx context.Context, method, address, path string) ([]byte, error) {
+// do makes a call whose response has at most limit bytes.
+func (c *Client) do(ctx context.Context, method, address, path string, limit int64) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, nil)
 	if err != nil {
 		return nil, trace.BadParameter("address %q: %v", address, err)
@@ -71,10 +74,13 @@
 		return nil, trace.ConnectionProblem(err, "node %s did not answer", address)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, fmt.Errorf("read response of node %s: %w", address, err)
 	}
+	if int64(len(body)) > limit {
+		return nil, trace.LimitExceeded("response of node %s exceeds %d bytes", address, limit)
+	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, trace.ConnectionProblem(nil, "node %s returned status %s", address, resp.Status)
 	}
@@ -88,13 +94,13 @@
 
 // Drain starts a graceful shutdown of a node.
 func (c *Client) Drain(ctx context.Context, address string) error {
-	_, err := c.do(ctx, http.MethodPost, address, admin.DrainPath)
+	_, err := c.do(ctx, http.MethodPost, address, admin.DrainPath, maxSmallSize)
 	return err
 }
 
 // Version returns the version of a node's active configuration.
 func (c *Client) Version(ctx context.Context, address string) (uint64, error) {
-	body, err := c.get(ctx, address, admin.VersionPath)
+	body, err := c.do(ctx, http.MethodGet, address, admin.VersionPath, maxSmallSize)
 	if err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/internal/traffic/httpconn/endless_test.go
@@ -0,0 +1,146 @@
+package httpconn_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
+	"github.com/matryer/is"
+)
+
+// answerWith accepts connections, and writes begin and then again, until the peer closes
+// the connection. The pause is between two writes of again. Closed gets a value for each
+// connection that the peer has closed.
+func answerWith(t *testing.T, begin, again string, pause time.Duration) (address string, closed <-chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	ends := make(chan struct{}, 64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				_, err := io.WriteString(c, begin)
+				for err == nil {
+					time.Sleep(pause)
+					_, err = io.WriteString(c, again)
+				}
+				ends <- struct{}{}
+			}()
+		}
+	}()
+	return l.Addr().String(), ends
+}
+
+// A target whose answer begins with megabytes and never ends took the budget for large
+// answers until the route's timeout. Whole answers of sound targets failed meanwhile.
+func TestEndlessBodyLeavesBudget(t *testing.T) {
+	t.Parallel()
+	// The beginnings of the endless answers fill the budget together.
+	const budget, sound, endlessCalls, begun = 8 << 20, 1 << 20, 5, 1550 << 10
+	for _, test := range []struct {
+		name, again string
+		pause       time.Duration
+	}{
+		{"full speed", strings.Repeat("x", 64<<10), 0},
+		{"trickle", "x", 10 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			shared := httpconn.NewBudget(budget)
+			options := httpconn.Options{DialTimeout: time.Second, MaxIdle: 4, MaxBody: 7 << 20, Budget: shared}
+			head := "HTTP/1.1 200 OK\r\n\r\n"
+			endless, closed := answerWith(t, head+strings.Repeat("x", begun), test.again, test.pause)
+			whole := serve(t, func(context.Context, *httpconn.Request) *httpconn.Response {
+				return &httpconn.Response{Status: http.StatusOK, Body: make([]byte, sound)}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			get := &httpconn.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}
+			lost := make(chan error, endlessCalls)
+			for range endlessCalls {
+				go func() {
+					_, err := httpconn.NewPool(endless, options).Do(ctx, get, httpconn.Reuse{})
+					lost <- err
+				}()
+			}
+			time.Sleep(200 * time.Millisecond)
+			p := httpconn.NewPool(whole.Address(), options)
+			for range 8 {
+				resp, err := p.Do(ctx, get, httpconn.Reuse{})
+				is.NoErr(err)
+				is.Equal(len(resp.Body), sound)
+			}
+			for range endlessCalls {
+				is.True(<-lost != nil)
+				<-closed // the connection is closed
+			}
+		})
+	}
+}
+
+// Answers without end fail at the limit or the timeout, in every part and at any speed, and
+// their connection is closed.
+func TestEndlessAnswers(t *testing.T) {
+	t.Parallel()
+	ok := "HTTP/1.1 200 OK\r\n"
+	chunked := ok + "Transfer-Encoding: chunked\r\n\r\n"
+	for _, test := range []struct{ name, begin, again string }{
+		{"no HTTP", "", "x"},
+		{"status line", "HTTP/1.1 200 ", "O"},
+		{"header line", ok + "A: ", "b"},
+		{"header lines", ok, "A: b\r\n"},
+		{"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"chunk extension", chunked + "1;", "a"},
+		{"chunk size", chunked, "0"},
+		{"chunks", chunked, "1\r\nx\r\n"},
+		{"trailers", chunked + "0\r\n", "A: b\r\n"},
+		{"body", ok + "\r\n", "x"},
+		{"longer than its length", ok + "Content-Length: 3\r\n\r\n", "x"},
+	} {
+		for _, speed := range []struct {
+			name  string
+			times int
+			pause time.Duration
+		}{{"full speed", 4096, 0}, {"trickle", 1, 20 * time.Millisecond}} {
+			t.Run(fmt.Sprintf("%s, %s", test.name, speed.name), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				address, closed := answerWith(t, test.begin, strings.Repeat(test.again, speed.times), speed.pause)
+				p := httpconn.NewPool(address, httpconn.Options{DialTimeout: time.Second, MaxIdle: 4, MaxBody: 1 << 20, Budget: httpconn.NewBudget(1 << 20)})
+				const allowed = 1500 * time.Millisecond
+				ctx, cancel := context.WithTimeout(context.Background(), allowed)
+				defer cancel()
+				began := time.Now()
+				resp, err := p.Do(ctx, &httpconn.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, httpconn.Reuse{})
+				is.True(time.Since(began) < allowed+time.Second)
+				if test.name == "longer than its length" {
+					is.NoErr(err)
+					is.Equal(len(resp.Body), 3)
+					_, err = p.Do(ctx, &httpconn.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, httpconn.Reuse{Fresh: true})
+					is.NoErr(err) // and the first connection is not used again
+					p.CloseIdle()
+				} else {
+					is.True(err != nil)
+				}
+				select {
+				case <-closed:
+				case <-time.After(timeout):
+					is.Fail() // the connection stays open
+				}
+			})
+		}
+	}
+}
--- a/internal/traffic/httpconn/message.go
+++ b/internal/traffic/httpconn/message.go
@@ -72,7 +72,7 @@
 // readBody reads a whole body of at most limit bytes. The length is -1 if unknown.
 // Bytes beyond exemptBody count against the budget while the body is read. The error
 // is errTooLarge when the limit or the budget is exceeded.
-func readBody(body io.Reader, length, limit int64, budget *Budget) ([]byte, error) {
+func readBody(body io.Reader, length, limit int64, taken *share) ([]byte, error) {
 	switch {
 	case length > limit:
 		return nil, errTooLarge
@@ -85,22 +85,23 @@
 		}
 		return data, nil
 	}
-	return readGrowing(body, length, limit, budget)
+	defer taken.release()
+	data, err := readGrowing(body, length, limit, taken)
+	if err != nil && taken.isRevoked() {
+		return nil, errTooLarge
+	}
+	return data, err
 }
 
 // readGrowing reads a body that is large or of unknown length. Its buffers grow with
 // the bytes received, so that a large Content-Length alone allocates nothing.
-func readGrowing(body io.Reader, length, limit int64, budget *Budget) ([]byte, error) {
+func readGrowing(body io.Reader, length, limit int64, taken *share) ([]byte, error) {
 	var bufs [][]byte
-	acquired, total := int64(0), int64(0)
-	defer func() { budget.release(acquired) }()
+	total := int64(0)
 	for {
 		size := min(max(total, firstBuffer), exemptBody, limit+1-total)
-		if total >= exemptBody {
-			if !budget.acquire(size) {
-				return nil, errTooLarge
-			}
-			acquired += size
+		if total >= exemptBody && !taken.acquire(size) {
+			return nil, errTooLarge
 		}
 		buf := make([]byte, size)
 		n, err := fill(body, buf)
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -198,7 +198,7 @@
 // exchange sends one request on a connection and puts the connection back or closes
 // it. After a timeout it closes all idle connections too, unless ctx ended.
 func (p *Pool) exchange(ctx context.Context, c *clientConn, r *Request) (*Response, error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, c.interrupt)
 	watch := watchWindow(c.conn)
 	resp, keep, err := c.exchange(r, p.options)
 	watch.stop()
@@ -388,7 +388,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		body, err := readBody(resp.Body, resp.ContentLength, o.MaxBody, o.Budget)
+		body, err := readBody(resp.Body, resp.ContentLength, o.MaxBody, o.Budget.share(c.interrupt))
 		if err != nil {
 			return nil, false, err
 		}
@@ -399,6 +399,9 @@
 	return nil, false, errors.New("too many interim responses without a final one")
 }
 
+// interrupt ends a read that is under way.
+func (c *clientConn) interrupt() { _ = c.conn.SetDeadline(time.Unix(1, 0)) }
+
 // truncateError limits the text of an error that quotes the bytes read.
 func truncateError(err error) error {
 	if text := err.Error(); len(text) > maxErrorText {
--- a/internal/traffic/httpconn/server.go
+++ b/internal/traffic/httpconn/server.go
@@ -350,7 +350,7 @@
 		c.sendContinue()
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	r.Body, err = readBody(req.Body, req.ContentLength, limits.Body, nil)
+	r.Body, err = readBody(req.Body, req.ContentLength, limits.Body, &share{})
 	if errors.Is(err, errTooLarge) {
 		return r, &Response{Status: http.StatusRequestEntityTooLarge}, err
 	}
