quota: no election while others name a running holder; grant 1.08 of the rate

A node that had given up its claim while it was cut off was elected 1.2 s after its return, beside a holder of a lower epoch whom it had not heard itself: 161 requests over the bound of 2,099 (TestSpendingSearch, seed 47, found with the rate of 1.1). It waits now while others name a running holder.

With 1.1 the search exceeds the bound by up to 7 (seed 106).

After: 180 seeds and 12 plays of seed 47 pass.

--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -82,7 +82,7 @@
 	// rateTolerance the factor on the rate that the holder grants. The difference is left
 	// for the fallback shares of nodes that the holder does not know to be cut off yet.
 	tolerance     = 1.1
-	rateTolerance = 1.06
+	rateTolerance = 1.08
 	// reservedFraction is the fraction of the burst that requests below the highest
 	// rank leave unused, because callers that retry failed lookups would otherwise
 	// use up the rate first. They may use the full rate while the bucket holds more
@@ -586,9 +586,19 @@
 		s.resign("another holder", false)
 		s.electableFrom = now.Add(electionDelay)
 		s.follow(n.claim)
+	case s.contradicts(now, n.claim):
+		// The sender follows a holder that this node has not heard yet.
+		s.electableFrom = now.Add(electionDelay)
 	}
 }
 
+// contradicts reports whether a claim that this node does not adopt names a running holder,
+// while this node knows of none. The mutex is held.
+func (s *Service) contradicts(now time.Time, c claim) bool {
+	same := c.Epoch == s.claim.Epoch && c.Holder == s.claim.Holder
+	return c.active() && !s.claim.active() && !same && c.Holder != s.fleet.Self().ID && !s.fleet.Silent(now, c.Holder)
+}
+
 // follow switches to another holder. Grants of this node stay valid until the
 // tokens expire, which the next holder accounts for. The mutex is held.
 func (s *Service) follow(c claim) {
--- a/internal/fleet/quota/search_test.go
+++ b/internal/fleet/quota/search_test.go
@@ -634,11 +634,23 @@
 // What all nodes together spend stays within the bound in any window, through faults of
 // the holder and restarts of the others.
 func TestSpendingSearch(t *testing.T) {
+	for seed := range searchRegressions {
+		searchQuota(t, seed, 3+9*int(seed%2))
+	}
 	for seed := *searchFirst; seed < *searchFirst+*searchSeeds; seed++ {
 		searchQuota(t, seed, 3+9*int(seed%2))
 	}
 }
 
+// searchRegressions are seeds that have failed, with the cause. They run in every search.
+// What a seed plays also depends on the order in which goroutines run.
+var searchRegressions = map[uint64]string{
+	44:  "the fallback share of a node that hears nobody came on top of what the holder granted",
+	47:  "a node that had given up its claim was elected while the others followed a holder of a lower epoch",
+	64:  "a holder that nobody heard elected itself anew every 250 ms",
+	106: "fallback shares that are spent before the holder notices that nodes are missing",
+}
+
 var (
 	searchSeeds = flag.Uint64("search.seeds", 12, "number of seeds of TestSpendingSearch")
 	searchTrace = flag.Bool("search.trace", false, "print the logs of the simulated nodes")
