httpconn: endless answers yield their memory to any sound one that is smaller

Callers saw 502 for a whole answer of a sound target while endless answers of other targets filled the budget for large answers.

Cause: a body took the share of another one only if that was more than twice as large. A sound answer that was half read when several endless ones used up the budget found none that large, and failed with "message exceeds its size limit".

TestSoundBodyBesideEndless makes the order certain: all three forms fail before, pass now. Taking the share of any larger body without regard to lengths was tried first: sound answers beside many smaller endless ones still failed.

Now a larger body loses to a smaller one, and one of unknown length to one of known length.

--- a/internal/traffic/httpconn/budget.go
+++ b/internal/traffic/httpconn/budget.go
@@ -2,14 +2,9 @@
 
 import "sync"
 
-const (
-	// exemptBody is the number of bytes of each body that do not count against the
-	// budget, so that small bodies succeed while endless ones exhaust it.
-	exemptBody = 64 << 10
-	// revokeFactor is how many times larger than another body one must be to lose its
-	// share of the budget to it.
-	revokeFactor = 2
-)
+// exemptBody is the number of bytes of each body that do not count against the budget, so
+// that small bodies succeed while endless ones exhaust it.
+const exemptBody = 64 << 10
 
 // Budget bounds the memory of large bodies while they are read, summed over all
 // pools that share it. A nil Budget is unlimited.
@@ -22,7 +17,9 @@
 // share is what one body has taken from a budget.
 type share struct {
 	budget *Budget
-	held   int64
+	// bounded reports whether the length of the body is known in advance.
+	bounded bool
+	held    int64
 	// revoke ends the read of the body.
 	revoke  func()
 	revoked bool
@@ -33,12 +30,14 @@
 	return &Budget{free: bytes, shares: map[*share]struct{}{}}
 }
 
-// share returns an empty share for one body. The budget calls revoke at most once, when
-// it gives the share to a smaller body.
-func (b *Budget) share(revoke func()) *share { return &share{budget: b, revoke: revoke} }
+// share returns an empty share for one body of a length, -1 if unknown. The budget calls
+// revoke at most once, when it gives the share to another body.
+func (b *Budget) share(length int64, revoke func()) *share {
+	return &share{budget: b, bounded: length >= 0, revoke: revoke}
+}
 
-// acquire takes bytes from the budget. If too few are free, much larger bodies lose
-// theirs: an endless body must not keep others from being read. It takes none and reports
+// acquire takes bytes from the budget. If too few are free, other bodies lose theirs, so
+// that an endless body does not keep others from being read. It takes none and reports
 // false when that is not enough, or when the share was revoked.
 func (s *share) acquire(bytes int64) bool {
 	b := s.budget
@@ -51,7 +50,7 @@
 		return false
 	}
 	for b.free < bytes {
-		if !b.revokeLargest(revokeFactor * (s.held + bytes)) {
+		if !b.revokeFor(s, s.held+bytes) {
 			return false
 		}
 	}
@@ -61,13 +60,13 @@
 	return true
 }
 
-// revokeLargest revokes the largest share if it exceeds a number of bytes. The mutex is
-// held.
-func (b *Budget) revokeLargest(above int64) bool {
+// revokeFor revokes the largest share that loses to s, which is to hold size bytes. The
+// mutex is held.
+func (b *Budget) revokeFor(s *share, size int64) bool {
 	var largest *share
-	for s := range b.shares {
-		if s.held > above && (largest == nil || s.held > largest.held) {
-			largest = s
+	for other := range b.shares {
+		if other != s && other.losesTo(s, size) && (largest == nil || other.held > largest.held) {
+			largest = other
 		}
 	}
 	if largest == nil {
@@ -81,6 +80,16 @@
 	return true
 }
 
+// losesTo reports whether other, which is to hold size bytes, may take the bytes of s. A
+// body of known length goes before one of unknown length, which may be endless, and a
+// smaller one before a larger one.
+func (s *share) losesTo(other *share, size int64) bool {
+	if s.bounded != other.bounded {
+		return other.bounded
+	}
+	return s.held > size
+}
+
 // settle gives the bytes of a share back. The mutex is held.
 func (b *Budget) settle(s *share) {
 	b.free += s.held
--- a/internal/traffic/httpconn/endless_test.go
+++ b/internal/traffic/httpconn/endless_test.go
@@ -1,6 +1,7 @@
 package httpconn_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -91,6 +92,74 @@
 	}
 }
 
+// A sound answer that had more than half of what each endless one had taken could not take
+// their share of the budget, and failed.
+func TestSoundBodyBesideEndless(t *testing.T) {
+	t.Parallel()
+	// The first part of the sound answer and the beginnings of the endless ones fill the
+	// budget together.
+	const budget, first, rest = 8 << 20, 900 << 10, 400 << 10
+	withLength := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", first+rest)
+	withoutLength := "HTTP/1.1 200 OK\r\n\r\n"
+	for _, test := range []struct {
+		name, head   string
+		endlessCalls int
+		begun        int
+	}{
+		{"larger ones", withLength, 5, 1408 << 10},
+		{"larger ones, answer without length", withoutLength, 5, 1408 << 10},
+		{"many smaller ones", withLength, 28, 256 << 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			options := httpconn.Options{DialTimeout: time.Second, MaxIdle: 4, MaxBody: 7 << 20, Budget: httpconn.NewBudget(budget)}
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			get := &httpconn.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}
+
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			begun, filled := make(chan struct{}), make(chan struct{})
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				// Unread bytes would reset the connection when it is closed.
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, test.head+strings.Repeat("x", first))
+				close(begun)
+				<-filled
+				_, _ = io.WriteString(c, strings.Repeat("x", rest))
+				_ = c.Close()
+			}()
+			type result struct {
+				resp *httpconn.Response
+				err  error
+			}
+			sound := make(chan result, 1)
+			go func() {
+				resp, err := httpconn.NewPool(l.Addr().String(), options).Do(ctx, get, httpconn.Reuse{})
+				sound <- result{resp, err}
+			}()
+			<-begun
+			time.Sleep(200 * time.Millisecond)
+
+			endless, _ := answerWith(t, withoutLength+strings.Repeat("x", test.begun), "x", 10*time.Millisecond)
+			for range test.endlessCalls {
+				go func() { _, _ = httpconn.NewPool(endless, options).Do(ctx, get, httpconn.Reuse{}) }()
+			}
+			time.Sleep(time.Second)
+			close(filled)
+			r := <-sound
+			is.NoErr(r.err)
+			is.Equal(len(r.resp.Body), first+rest)
+		})
+	}
+}
+
 // Answers without end fail at the limit or the timeout, in every part and at any speed, and
 // their connection is closed.
 func TestEndlessAnswers(t *testing.T) {
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -388,7 +388,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		body, err := readBody(resp.Body, resp.ContentLength, o.MaxBody, o.Budget.share(c.interrupt))
+		body, err := readBody(resp.Body, resp.ContentLength, o.MaxBody, o.Budget.share(resp.ContentLength, c.interrupt))
 		if err != nil {
 			return nil, false, err
 		}
