httpconn: bound the memory of large request bodies

Cause: a request body had no bound but the limit for each one, and was held twice while its parts were joined. Now its memory is taken from a budget before it is allocated, and given back when the response is written. A body that does not fit is read and dropped, and the request refused as not run.

--- a/internal/core/failure/failure.go
+++ b/internal/core/failure/failure.go
@@ -42,7 +42,7 @@
 	Poison           Reason = "poison"  // the request has crashed targets
 	Leaving          Reason = "leaving" // the node or its target is stopping
 	NotReady         Reason = "not-ready"
-	Backlog          Reason = "backlog"     // responses wait for slow readers
+	Backlog          Reason = "backlog"     // slow readers or large bodies take too much memory
 	TooDeep          Reason = "too-deep"    // chain of inner calls too long
 	Unsafe           Reason = "unsafe-call" // not idempotent under a repeatable request
 )
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -62,6 +62,11 @@
 	// the greatest size.
 	responseDivisor   = 8
 	minResponseBudget = 33 << 20
+	// Large bodies of callers' requests, and of peers', may each take
+	// 1/requestDivisor of the memory limit. minRequestBudget, in bytes, has room
+	// for a body of the greatest size while its buffer grows.
+	requestDivisor   = 4
+	minRequestBudget = 69 << 20
 	// New requests are refused while responses that wait for slow readers take
 	// 1/unwrittenDivisor of the memory limit, or minUnwritten, in bytes, if that is more.
 	unwrittenDivisor = 8
@@ -162,6 +167,13 @@
 	return max(int64(s.Memory)<<20/responseDivisor, minResponseBudget)
 }
 
+// requestBudget returns how much memory large request bodies may take on each of the
+// listeners for callers and peers, in bytes. With one budget for both, nodes whose callers
+// have used it up would refuse each other's calls.
+func requestBudget(s settings.Mesh) int64 {
+	return max(int64(s.Memory)<<20/requestDivisor, minRequestBudget)
+}
+
 // backlogged reports whether the responses that wait for slow readers take too much
 // memory.
 func (n *Node) backlogged() bool {
@@ -233,8 +245,10 @@
 	for _, server := range []*httpconn.Server{n.callers, n.peers} {
 		server.OnError = func(err error) { n.log.WithError(err).WithField("address", server.Address()).Warn("accept failed") }
 		server.OnPanic = n.recordPanic
+		server.Budget = httpconn.NewBudget(requestBudget(n.settings))
 	}
 	n.metricSet.NewGauge("unwritten_bytes", func() float64 { return float64(n.callers.Unwritten() + n.peers.Unwritten()) })
+	n.metricSet.NewGauge("request_body_bytes", func() float64 { return float64(n.callers.Budget.Used() + n.peers.Budget.Used()) })
 	n.registerHTTP(n.settings.Ready, adapter.Ready(n.isReady))
 	n.registerHTTP(n.settings.Announcements, adapter.Announcements(n.inbound, n.settings.Target, clock.Now, n.logger("announcements")))
 	n.registerHTTP(n.settings.Operators, n.operators())
--- a/internal/traffic/httpconn/budget.go
+++ b/internal/traffic/httpconn/budget.go
@@ -6,10 +6,12 @@
 // that small bodies succeed while endless ones exhaust it.
 const exemptBody = 64 << 10
 
-// Budget bounds the memory of large bodies while they are read, summed over all
-// pools that share it. A nil Budget is unlimited.
+// Budget bounds the memory of large bodies: of responses while they are read, summed over
+// all pools that share it, and of requests until their responses are written. A nil Budget
+// is unlimited.
 type Budget struct {
 	mu     sync.Mutex
+	bytes  int64
 	free   int64
 	shares map[*share]struct{}
 }
@@ -20,14 +22,24 @@
 	// bounded reports whether the length of the body is known in advance.
 	bounded bool
 	held    int64
-	// revoke ends the read of the body.
+	// revoke ends the read of the body. A share without it can't be revoked.
 	revoke  func()
 	revoked bool
 }
 
 // NewBudget returns a budget of the given number of bytes.
 func NewBudget(bytes int64) *Budget {
-	return &Budget{free: bytes, shares: map[*share]struct{}{}}
+	return &Budget{bytes: bytes, free: bytes, shares: map[*share]struct{}{}}
+}
+
+// Used is the number of bytes taken.
+func (b *Budget) Used() int64 {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bytes - b.free
 }
 
 // share returns an empty share for one body of a length, -1 if unknown. The budget calls
@@ -74,9 +86,7 @@
 	}
 	largest.revoked = true
 	b.settle(largest)
-	if largest.revoke != nil {
-		largest.revoke()
-	}
+	largest.revoke()
 	return true
 }
 
@@ -84,7 +94,10 @@
 // body of known length goes before one of unknown length, which may be endless, and a
 // smaller one before a larger one.
 func (s *share) losesTo(other *share, size int64) bool {
-	if s.bounded != other.bounded {
+	switch {
+	case s.revoke == nil:
+		return false
+	case s.bounded != other.bounded:
 		return other.bounded
 	}
 	return s.held > size
@@ -97,13 +110,24 @@
 	delete(b.shares, s)
 }
 
-// release gives the acquired bytes back.
-func (s *share) release() {
+// giveBack gives some of the acquired bytes back.
+func (s *share) giveBack(bytes int64) {
 	if s.budget == nil {
 		return
 	}
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
+	s.budget.free += bytes
+	s.held -= bytes
+}
+
+// release gives the acquired bytes back. A nil share has none.
+func (s *share) release() {
+	if s == nil || s.budget == nil {
+		return
+	}
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
 	s.budget.settle(s)
 }
 
--- a/internal/traffic/httpconn/message.go
+++ b/internal/traffic/httpconn/message.go
@@ -25,6 +25,12 @@
 	Body   []byte
 	// Received is when the server had read the headers, by clock.Now.
 	Received time.Time
+	// Discarded is set when the server's budget had too little room for the body. The body
+	// was read and dropped.
+	Discarded bool
+
+	// memory is what the body takes from the server's budget.
+	memory *share
 }
 
 // Path is the request target without its query.
@@ -33,6 +39,13 @@
 	return path
 }
 
+// release gives the memory of the body back to the server's budget. A nil request has none.
+func (r *Request) release() {
+	if r != nil {
+		r.memory.release()
+	}
+}
+
 // Response is a response with its whole body. A handler returns nil to close the
 // connection.
 type Response struct {
@@ -44,11 +57,20 @@
 }
 
 // errTooLarge is returned for a header or body that exceeds its limit, and for a
-// body that exceeds the budget.
+// response body that exceeds the budget.
 var errTooLarge = errors.New("message exceeds its size limit")
 
-// firstBuffer is the size of the first buffer for a body of unknown length, in bytes.
-const firstBuffer = 4 << 10
+// errBudgetUsed is returned for a request body that exceeds the budget.
+var errBudgetUsed = errors.New("memory for large bodies is used up")
+
+const (
+	// firstBuffer is the size of the first buffer for a body of unknown length, in bytes.
+	firstBuffer = 4 << 10
+	// The buffer of a large request body of unknown length grows by growthFactor. From
+	// largestStep, in bytes, it grows to the limit.
+	growthFactor = 4
+	largestStep  = 4 << 20
+)
 
 // hopHeaders are the hop-by-hop headers.
 var hopHeaders = []string{
@@ -119,6 +141,87 @@
 	}
 }
 
+// readRequestBody reads the whole body of a request, of at most limit bytes, into one
+// buffer. The length is -1 if unknown. Buffers of more than exemptBody are taken from the
+// budget first, and stay in the share. The error is errBudgetUsed when the budget has too
+// little room.
+func readRequestBody(body io.Reader, length, limit int64, taken *share) ([]byte, error) {
+	if length > limit {
+		return nil, errTooLarge
+	}
+	size := int64(firstBuffer)
+	if length >= 0 {
+		size = min(length, exemptBody)
+	}
+	data := make([]byte, 0, size)
+	for {
+		n, err := fill(body, data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		total := int64(len(data))
+		switch {
+		case total > limit:
+			return nil, errTooLarge
+		case total == length, errors.Is(err, io.EOF) && length < 0:
+			return shrink(data, taken), nil
+		case errors.Is(err, io.EOF):
+			return nil, fmt.Errorf("read body: %w", io.ErrUnexpectedEOF)
+		case err != nil:
+			return nil, fmt.Errorf("read body: %w", err)
+		}
+		if data, err = grow(data, nextSize(total, length, limit), taken); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// discard reads and drops the rest of a body, of at most limit bytes.
+func discard(body io.Reader, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	switch {
+	case err != nil:
+		return fmt.Errorf("discard body: %w", err)
+	case n > limit:
+		return errTooLarge
+	}
+	return nil
+}
+
+// nextSize is the size of the buffer for a body of which more than size bytes follow.
+func nextSize(size, length, limit int64) int64 {
+	switch {
+	case length >= 0:
+		return length
+	case size >= largestStep:
+		return limit + 1 // one more byte shows that the body is too large
+	}
+	return min(size*growthFactor, limit+1)
+}
+
+// grow moves data to a buffer of another size, whose memory it takes from the budget.
+func grow(data []byte, size int64, taken *share) ([]byte, error) {
+	if size > exemptBody && !taken.acquire(size) {
+		return nil, errBudgetUsed
+	}
+	moved := make([]byte, len(data), size)
+	copy(moved, data)
+	if before := int64(cap(data)); before > exemptBody {
+		taken.giveBack(before)
+	}
+	return moved, nil
+}
+
+// shrink moves data to a smaller buffer if most of its buffer is empty.
+func shrink(data []byte, taken *share) []byte {
+	if cap(data) <= exemptBody || len(data) > cap(data)/2 {
+		return data
+	}
+	moved, err := grow(data, int64(len(data)), taken)
+	if err != nil {
+		return data
+	}
+	return moved
+}
+
 // fill reads until buf is full. Unlike io.ReadFull it passes the error of
 // the body on unchanged: io.EOF at the regular end, io.ErrUnexpectedEOF if truncated.
 func fill(body io.Reader, buf []byte) (n int, err error) {
--- a/internal/traffic/httpconn/server.go
+++ b/internal/traffic/httpconn/server.go
@@ -68,6 +68,9 @@
 	// request is then answered with 502, since it may have run. Nil ignores it. Set it
 	// before Serve.
 	OnPanic func(value any, stack []byte)
+	// Budget bounds the memory of large request bodies until their responses are written.
+	// Nil is unlimited. Set it before Serve.
+	Budget *Budget
 
 	mu       sync.Mutex
 	conns    map[*serverConn]struct{}
@@ -284,6 +287,7 @@
 		c.mu.Lock()
 		if c.closing {
 			c.mu.Unlock()
+			req.release()
 			break
 		}
 		c.pending++
@@ -297,6 +301,7 @@
 			defer responses.Done()
 			defer close(done)
 			defer c.server.inFlight.Add(-1)
+			defer req.release()
 			c.respond(ctx, req, rejection, previous, cancel)
 		})
 		if rejection != nil {
@@ -350,7 +355,15 @@
 		c.sendContinue()
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	r.Body, err = readBody(req.Body, req.ContentLength, limits.Body, &share{})
+	r.memory = c.server.Budget.share(req.ContentLength, nil)
+	r.Body, err = readRequestBody(req.Body, req.ContentLength, limits.Body, r.memory)
+	if errors.Is(err, errBudgetUsed) {
+		r.Discarded = true
+		err = discard(req.Body, limits.Body)
+	}
+	if err != nil {
+		r.release()
+	}
 	if errors.Is(err, errTooLarge) {
 		return r, &Response{Status: http.StatusRequestEntityTooLarge}, err
 	}
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -363,21 +363,23 @@
 	id := s.lastID.Add(1)
 	deadline := now.Add(c.Remaining())
 	s.adoptLimit(now, c)
+	if r.Discarded {
+		return s.refuse(now, c, call.Refused{Reason: failure.Backlog, RetryAfter: unavailableRetryAfter})
+	}
 	f, release, refused := s.screen(ctx, now, flight{call: c, request: r})
 	defer release()
 	if refused == nil {
 		refused = s.admit(ctx, clock.Now(), id, f.call, deadline)
 	}
 	if refused != nil {
-		s.refusals.Inc()
-		s.logRefusal(now, c, *refused)
-		return *refused
+		return s.refuse(now, c, *refused)
 	}
 	return s.send(ctx, id, f, deadline)
 }
 
-// logRefusal logs why a call got no slot, with the admission state.
-func (s *Service) logRefusal(now time.Time, c call.Call, r call.Refused) {
+// refuse counts a refusal and logs why the call got no slot, with the admission state.
+func (s *Service) refuse(now time.Time, c call.Call, r call.Refused) call.Outcome {
+	s.refusals.Inc()
 	s.mu.Lock()
 	g := s.overload.State().Admission
 	s.mu.Unlock()
@@ -386,6 +388,7 @@
 		"waited_ms": clock.Now().Sub(now).Milliseconds(), "after_ms": r.RetryAfter.Milliseconds(),
 		"running": g.Running, "waiting": g.Waiting, "limit": g.Limit, "cut": g.Cutoff,
 	}).Info("call refused before it was sent to the target")
+	return r
 }
 
 // admit acquires a slot for a call. It returns nil if there is one, and otherwise
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -175,7 +175,7 @@
 	if errResp := s.resolve(q); errResp != nil {
 		return nil, errResp
 	}
-	if s.Backlogged() {
+	if s.Backlogged() || q.in.Discarded {
 		return nil, &errorResponse{http.StatusServiceUnavailable, failure.Backlog, backlogRetryAfter}
 	}
 	q.deadline = q.start.Add(q.route.Timeout)
