--- a/internal/traffic/inbound/health.go
+++ b/internal/traffic/inbound/health.go
@@ -10,6 +10,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -51,7 +52,11 @@
 	go func() {
 		defer s.health.running.Store(false)
 		id, err := s.checkHealth(path)
-		s.log.WithField("target", a.ID).WithField("confirmed", id).WithField("error", fmt.Sprint(err)).Info("target asked whether it leaves")
+		log := s.log.WithFields(logrus.Fields{"target": a.ID, "confirmed": id})
+		if err != nil {
+			log = log.WithError(err)
+		}
+		log.Info("target asked whether it leaves")
 		if id != "" {
 			now := clock.Now()
 			s.update(now, func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithConfirmation(now, id) })
