httpconn: a request body that is dropped holds no memory

A body in chunks that no longer fitted kept what its first buffers had taken of the budget until its last byte was in, so that other callers were refused meanwhile. TestDroppedBodyReleasesBudget fails before and passes now. Found by reading.

--- a/internal/traffic/httpconn/server.go
+++ b/internal/traffic/httpconn/server.go
@@ -359,6 +359,7 @@
 	r.Body, err = readRequestBody(req.Body, req.ContentLength, limits.Body, r.memory)
 	if errors.Is(err, errBudgetUsed) {
 		r.Discarded = true
+		r.release()
 		err = discard(req.Body, limits.Body)
 	}
 	if err != nil {
--- a/internal/traffic/httpconn/upload_test.go
+++ b/internal/traffic/httpconn/upload_test.go
@@ -128,3 +128,30 @@
 		waitUsed(t, s.Budget, 0, 0)
 	}
 }
+
+// A body that is dropped kept what it had taken of the budget until its last byte was in.
+func TestDroppedBodyReleasesBudget(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const limit = 1 << 20
+	s, err := httpconn.Listen("127.0.0.1:0", func() httpconn.Limits {
+		return httpconn.Limits{Header: 16 << 10, Body: limit, HeaderTimeout: time.Second, IdleTimeout: timeout}
+	}, func(_ context.Context, r *httpconn.Request) *httpconn.Response {
+		return &httpconn.Response{Status: http.StatusOK, Body: []byte(fmt.Sprint(r.Discarded))}
+	})
+	is.NoErr(err)
+	s.Budget = httpconn.NewBudget(limit / 2)
+	go func() { _ = s.Serve(context.Background()) }()
+	defer s.Close()
+	c, in := dial(t, s.Address())
+	// The budget has room for the first buffers only.
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n80000\r\n"+strings.Repeat("x", limit/2)+"\r\n")
+	is.NoErr(err)
+	time.Sleep(200 * time.Millisecond)
+	is.Equal(s.Budget.Used(), int64(0))
+	_, err = io.WriteString(c, "0\r\n\r\n")
+	is.NoErr(err)
+	resp, body := read(t, in)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, "true")
+}
