httpconn: memory of a revoked body counts until it is released

Cause: the share of a body that lost it was free at once, while its reader still held the buffers, so that all bodies together exceeded the budget. Now the body that takes the share waits until the reader has released it. Readers of revoked shares are interrupted or woken, so that nobody waits for one that waits.

--- a/internal/traffic/httpconn/budget.go
+++ b/internal/traffic/httpconn/budget.go
@@ -10,10 +10,14 @@
 // all pools that share it, and of requests until their responses are written. A nil Budget
 // is unlimited.
 type Budget struct {
-	mu     sync.Mutex
-	bytes  int64
-	free   int64
-	shares map[*share]struct{}
+	mu    sync.Mutex
+	bytes int64
+	free  int64
+	// revoking is the number of bytes of shares that were revoked and not released yet.
+	revoking int64
+	// released is signalled when bytes become free and when a share is revoked.
+	released *sync.Cond
+	shares   map[*share]struct{}
 }
 
 // share is what one body has taken from a budget.
@@ -29,7 +33,9 @@
 
 // NewBudget returns a budget of the given number of bytes.
 func NewBudget(bytes int64) *Budget {
-	return &Budget{bytes: bytes, free: bytes, shares: map[*share]struct{}{}}
+	b := &Budget{bytes: bytes, free: bytes, shares: map[*share]struct{}{}}
+	b.released = sync.NewCond(&b.mu)
+	return b
 }
 
 // Used is the number of bytes taken.
@@ -49,8 +55,9 @@
 }
 
 // acquire takes bytes from the budget. If too few are free, other bodies lose theirs, so
-// that an endless body does not keep others from being read. It takes none and reports
-// false when that is not enough, or when the share was revoked.
+// that an endless body does not keep others from being read. It waits until their memory
+// is released. It takes none and reports false when that is not enough, or when the share
+// was revoked.
 func (s *share) acquire(bytes int64) bool {
 	b := s.budget
 	if b == nil {
@@ -58,14 +65,16 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s.revoked {
-		return false
-	}
-	for b.free < bytes {
-		if !b.revokeFor(s, s.held+bytes) {
+	for !s.revoked && b.free < bytes {
+		if b.free+b.revoking >= bytes {
+			b.released.Wait()
+		} else if !b.revokeFor(s, s.held+bytes) {
 			return false
 		}
 	}
+	if s.revoked {
+		return false
+	}
 	b.free -= bytes
 	s.held += bytes
 	b.shares[s] = struct{}{}
@@ -85,7 +94,9 @@
 		return false
 	}
 	largest.revoked = true
-	b.settle(largest)
+	b.revoking += largest.held
+	delete(b.shares, largest)
+	b.released.Broadcast()
 	largest.revoke()
 	return true
 }
@@ -103,13 +114,6 @@
 	return s.held > size
 }
 
-// settle gives the bytes of a share back. The mutex is held.
-func (b *Budget) settle(s *share) {
-	b.free += s.held
-	s.held = 0
-	delete(b.shares, s)
-}
-
 // giveBack gives some of the acquired bytes back.
 func (s *share) giveBack(bytes int64) {
 	if s.budget == nil {
@@ -119,6 +123,7 @@
 	defer s.budget.mu.Unlock()
 	s.budget.free += bytes
 	s.held -= bytes
+	s.budget.released.Broadcast()
 }
 
 // release gives the acquired bytes back. A nil share has none.
@@ -126,9 +131,16 @@
 	if s == nil || s.budget == nil {
 		return
 	}
-	s.budget.mu.Lock()
-	defer s.budget.mu.Unlock()
-	s.budget.settle(s)
+	b := s.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s.revoked {
+		b.revoking -= s.held
+	}
+	b.free += s.held
+	s.held = 0
+	delete(b.shares, s)
+	b.released.Broadcast()
 }
 
 // isRevoked reports whether the share was given to another body.
