httpconn: a connection that was interrupted with the last byte is not kept

A body that lost its share of the budget just as it was read whole left its connection in the pool with a deadline in the past. The next request on it failed with a timeout, and counted as possibly run. TestRevokedConnectionNotReused fails before and passes now. Found by reading.

--- a/internal/traffic/httpconn/budget_test.go
+++ b/internal/traffic/httpconn/budget_test.go
@@ -1,6 +1,11 @@
 package httpconn
 
 import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -52,3 +57,43 @@
 	large.release()
 	is.True(<-acquired)
 }
+
+// revokingConn revokes all shares of a budget when the last byte of a response is read.
+type revokingConn struct {
+	net.Conn
+	budget *Budget
+	left   int
+}
+
+func (c *revokingConn) Read(p []byte) (int, error) {
+	if c.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(p), c.left)
+	c.left -= n
+	if c.left == 0 {
+		c.budget.mu.Lock()
+		defer c.budget.mu.Unlock()
+		for c.budget.revokeFor(c.budget.share(1, nil), 0) {
+		}
+	}
+	return n, nil
+}
+
+func (c *revokingConn) SetDeadline(time.Time) error { return nil }
+
+// A connection whose body lost its share with the last byte was kept, although its deadline
+// had been set to the past, and the next request on it failed.
+func TestRevokedConnectionNotReused(t *testing.T) {
+	is := is.New(t)
+	const size = 200 << 10
+	b := NewBudget(1 << 20)
+	conn := &revokingConn{budget: b, left: size}
+	limit := &io.LimitedReader{R: conn}
+	head := []byte("HTTP/1.1 200 OK\r\nContent-Length: 204800\r\n\r\n")
+	c := &clientConn{conn: conn, limit: limit, in: bufio.NewReaderSize(io.MultiReader(bytes.NewReader(head), limit), bufferSize)}
+	resp, keep, err := c.readResponse(http.MethodGet, Options{MaxBody: size, Budget: b})
+	is.NoErr(err)
+	is.Equal(len(resp.Body), size)
+	is.True(!keep)
+}
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -388,13 +388,14 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		body, err := readBody(resp.Body, resp.ContentLength, o.MaxBody, o.Budget.share(resp.ContentLength, c.interrupt))
+		taken := o.Budget.share(resp.ContentLength, c.interrupt)
+		body, err := readBody(resp.Body, resp.ContentLength, o.MaxBody, taken)
 		if err != nil {
 			return nil, false, err
 		}
 		c.expires = time.Now().Add(time.Duration(float64(keepAliveTimeout(resp.Header)) * idleFraction))
 		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, framed && !resp.Close, nil
+		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, framed && !resp.Close && !taken.isRevoked(), nil
 	}
 	return nil, false, errors.New("too many interim responses without a final one")
 }
