--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -335,11 +335,11 @@
 	Outgoing(h http.Header, c Call)
 	// ParseReply decodes the status and headers of a target's response.
 	ParseReply(status int, h http.Header) ReplyInfo
-	// Refusal returns the response to a request that the node itself refuses. id may
-	// be empty, and after is when a retry makes sense.
 	// ParseHealth returns the ID of the target that gave this answer to a health check,
 	// or "" unless the target is healthy and does not leave.
 	ParseHealth(status int, h http.Header) string
+	// Refusal returns the response to a request that the node itself refuses. id may
+	// be empty, and after is when a retry makes sense.
 	Refusal(id string, status int, after time.Duration, reason failure.Reason) *httpconn.Response
 }
 
--- a/internal/traffic/httpconn/message.go
+++ b/internal/traffic/httpconn/message.go
@@ -91,10 +91,10 @@
 	}
 }
 
-// readBody reads a whole body of at most limit bytes. The length is -1 if unknown.
-// Bytes beyond exemptBody count against the budget while the body is read. The error
-// is errTooLarge when the limit or the budget is exceeded.
-func readBody(body io.Reader, length, limit int64, taken *share) ([]byte, error) {
+// readResponseBody reads the whole body of a response, of at most limit bytes. The length
+// is -1 if unknown. Bytes beyond exemptBody count against the budget while the body is
+// read. The error is errTooLarge when the limit or the budget is exceeded.
+func readResponseBody(body io.Reader, length, limit int64, taken *share) ([]byte, error) {
 	switch {
 	case length > limit:
 		return nil, errTooLarge
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -389,7 +389,7 @@
 			continue
 		}
 		taken := o.Budget.share(resp.ContentLength, c.interrupt)
-		body, err := readBody(resp.Body, resp.ContentLength, o.MaxBody, taken)
+		body, err := readResponseBody(resp.Body, resp.ContentLength, o.MaxBody, taken)
 		if err != nil {
 			return nil, false, err
 		}
--- a/internal/traffic/relay/place.go
+++ b/internal/traffic/relay/place.go
@@ -142,8 +142,8 @@
 
 // retrySameTarget reports whether a request is sent once more to a target that rejected it
 // without running it. A route limits the number of targets that a request reaches, there may
-// be no other target, and one that rejects at random may accept it the next time. Calls made by targets need the
-// consent of the last target's node.
+// be no other target, and one that rejects at random may accept it the next time. Calls made
+// by targets need the consent of the last target's node.
 func (s *Service) retrySameTarget(q *request) bool {
 	q.sameTarget = len(q.reached) > 0 && q.rejected == q.attempts && q.attempts < s.maxAttempts(q) && (q.org != nil || q.retryReserved)
 	return q.sameTarget
