--- a/internal/fleet/roster/join.go
+++ b/internal/fleet/roster/join.go
@@ -82,10 +82,11 @@
 		return fmt.Errorf("list nodes: %w", err)
 	}
 	now, introduced := clock.Now(), 0
-	s.recordListed(now, listed)
-	for name, value := range listed {
-		var r member.Record
-		if err := json.Unmarshal(value, &r); err != nil || r.Datagrams == "" || r.ID == "" {
+	records := decodeRecords(listed)
+	s.recordListed(now, len(listed), records)
+	for name := range listed {
+		r := records[name]
+		if r.Datagrams == "" || r.ID == "" {
 			s.log.WithField("entry", name).Warn("directory entry skipped: invalid member record")
 			continue
 		}
@@ -105,16 +106,28 @@
 	return nil
 }
 
-// recordListed records which nodes the directory has, and which of them are not known.
-func (s *Service) recordListed(now time.Time, listed map[string][]byte) {
+// decodeRecords returns the entries of the directory that can be decoded, by name.
+func decodeRecords(listed map[string][]byte) map[string]member.Record {
+	records := make(map[string]member.Record, len(listed))
+	for name, value := range listed {
+		var r member.Record
+		if json.Unmarshal(value, &r) == nil {
+			records[name] = r
+		}
+	}
+	return records
+}
+
+// recordListed records how many entries the directory has, and which of their nodes are
+// not known.
+func (s *Service) recordListed(now time.Time, entries int, records map[string]member.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listed, s.directoryRead = len(listed), true
+	s.listed, s.directoryRead = entries, true
 	before := s.unmet
 	s.unmet = map[string]time.Time{}
-	for name, value := range listed {
-		var r member.Record
-		if name == s.node || json.Unmarshal(value, &r) != nil || r.Address == "" {
+	for name, r := range records {
+		if name == s.node || r.Address == "" {
 			continue
 		}
 		if _, met := s.table.At(r.Address); met {
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -28,7 +28,7 @@
 	// maxHeader bounds the status line and headers of a response, in bytes. It is
 	// four times the platform's limit for the headers of callers.
 	maxHeader = 64 << 10
-	// unlimited is the value of limit.N while a body is read: readBody enforces
+	// unlimited is the value of limit.N while a body is read: its readers enforce
 	// the limit for bodies.
 	unlimited = 1 << 62
 	// maxInterim is the number of interim responses (1xx) to a request after
