--- a/internal/fleet/departure/departure.go
+++ b/internal/fleet/departure/departure.go
@@ -71,12 +71,6 @@
 	return e.Node + "." + strconv.FormatUint(h.Sum64(), 36)
 }
 
-// pending is a leave that is being written.
-type pending struct {
-	// done is closed once the leave is kept.
-	done chan struct{}
-}
-
 // Service keeps the leaves of one node's target.
 type Service struct {
 	node  string
@@ -89,8 +83,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu     sync.Mutex
-	kept   map[string]*pending
+	mu sync.Mutex
+	// kept has a channel for each leave, by name, that is closed once the leave is in the
+	// store.
+	kept   map[string]chan struct{}
 	loaded bool
 	left   []lifecycle.Leave
 }
@@ -98,7 +94,7 @@
 // New returns the service of a node. Sweeps reports whether the node is the one that
 // removes old leaves.
 func New(node string, store Store, sweeps func() bool, log *logrus.Entry) *Service {
-	s := &Service{node: node, store: store, sweeps: sweeps, log: log, kept: map[string]*pending{}}
+	s := &Service{node: node, store: store, sweeps: sweeps, log: log, kept: map[string]chan struct{}{}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -115,19 +111,19 @@
 	}
 	name := e.name()
 	s.mu.Lock()
-	p, ok := s.kept[name]
+	done, ok := s.kept[name]
 	if !ok {
 		if s.countPending() >= maxPending {
 			s.mu.Unlock()
 			return fmt.Errorf("%w: %d others wait for the store", ErrNotKept, maxPending)
 		}
-		p = &pending{done: make(chan struct{})}
-		s.kept[name] = p
-		go s.write(name, e, p)
+		done = make(chan struct{})
+		s.kept[name] = done
+		go s.write(name, e, done)
 	}
 	s.mu.Unlock()
 	select {
-	case <-p.done:
+	case <-done:
 		return nil
 	case <-ctx.Done():
 		return fmt.Errorf("%w: %w", ErrNotKept, ctx.Err())
@@ -137,9 +133,9 @@
 // countPending returns the number of leaves that are being written. The mutex is held.
 func (s *Service) countPending() int {
 	n := 0
-	for _, p := range s.kept {
+	for _, done := range s.kept {
 		select {
-		case <-p.done:
+		case <-done:
 		default:
 			n++
 		}
@@ -147,8 +143,9 @@
 	return n
 }
 
-// write writes an entry until that succeeds or the service stops.
-func (s *Service) write(name string, e entry, p *pending) {
+// write writes an entry until that succeeds, and then closes done, or until the service
+// stops.
+func (s *Service) write(name string, e entry, done chan<- struct{}) {
 	value, err := json.Marshal(e)
 	if err != nil {
 		s.log.WithError(err).Error("encoding a leave failed")
@@ -160,7 +157,7 @@
 		cancel()
 		if err == nil {
 			s.log.WithFields(logrus.Fields{"target": e.Instance, "born": e.Born, "until": e.Until}).Info("leave kept")
-			close(p.done)
+			close(done)
 			return
 		}
 		s.log.WithError(err).WithField("target", e.Instance).Warn("leave not kept yet")
