--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -14,6 +14,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 )
 
 // Status is the state of a node, as another node sees it.
@@ -105,11 +107,7 @@
 // HasLeft reports whether an incarnation of the node's target has announced that it
 // leaves. Earlier ones with the same ID have ended.
 func (r Record) HasLeft(instance string, born int64) bool {
-	latest := r.Born
-	if latest == 0 {
-		latest = r.Until
-	}
-	return r.Deregistered && r.Instance == instance && born <= latest
+	return r.Deregistered && lifecycle.Leave{ID: r.Instance, Born: r.Born, ReceivedAt: time.UnixMilli(r.Until)}.Covers(instance, born)
 }
 
 // Gone reports whether the node is dead or has left.
