--- a/internal/traffic/httpconn/endless_test.go
+++ b/internal/traffic/httpconn/endless_test.go
@@ -11,39 +11,11 @@
 	"testing"
 	"time"
 
+	"chestnutshed.example/chestnutshed/internal/standin/endless"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"github.com/matryer/is"
 )
 
-// answerWith accepts connections, and writes begin and then again, until the peer closes
-// the connection. The pause is between two writes of again. Closed gets a value for each
-// connection that the peer has closed.
-func answerWith(t *testing.T, begin, again string, pause time.Duration) (address string, closed <-chan struct{}) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	ends := make(chan struct{}, 64)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				_, err := io.WriteString(c, begin)
-				for err == nil {
-					time.Sleep(pause)
-					_, err = io.WriteString(c, again)
-				}
-				ends <- struct{}{}
-			}()
-		}
-	}()
-	return l.Addr().String(), ends
-}
-
 // A target whose answer begins with megabytes and never ends took the budget for large
 // answers until the route's timeout. Whole answers of sound targets failed meanwhile.
 func TestEndlessBodyLeavesBudget(t *testing.T) {
@@ -63,7 +35,8 @@
 			shared := httpconn.NewBudget(budget)
 			options := httpconn.Options{DialTimeout: time.Second, MaxIdle: 4, MaxBody: 7 << 20, Budget: shared}
 			head := "HTTP/1.1 200 OK\r\n\r\n"
-			endless, closed := answerWith(t, head+strings.Repeat("x", begun), test.again, test.pause)
+			address, closed, err := endless.Listen(t.Context(), head+strings.Repeat("x", begun), test.again, test.pause)
+			is.NoErr(err)
 			whole := serve(t, func(context.Context, *httpconn.Request) *httpconn.Response {
 				return &httpconn.Response{Status: http.StatusOK, Body: make([]byte, sound)}
 			})
@@ -73,7 +46,7 @@
 			lost := make(chan error, endlessCalls)
 			for range endlessCalls {
 				go func() {
-					_, err := httpconn.NewPool(endless, options).Do(ctx, get, httpconn.Reuse{})
+					_, err := httpconn.NewPool(address, options).Do(ctx, get, httpconn.Reuse{})
 					lost <- err
 				}()
 			}
@@ -147,9 +120,10 @@
 			<-begun
 			time.Sleep(200 * time.Millisecond)
 
-			endless, _ := answerWith(t, withoutLength+strings.Repeat("x", test.begun), "x", 10*time.Millisecond)
+			address, _, err := endless.Listen(t.Context(), withoutLength+strings.Repeat("x", test.begun), "x", 10*time.Millisecond)
+			is.NoErr(err)
 			for range test.endlessCalls {
-				go func() { _, _ = httpconn.NewPool(endless, options).Do(ctx, get, httpconn.Reuse{}) }()
+				go func() { _, _ = httpconn.NewPool(address, options).Do(ctx, get, httpconn.Reuse{}) }()
 			}
 			time.Sleep(time.Second)
 			close(filled)
@@ -187,7 +161,8 @@
 			t.Run(fmt.Sprintf("%s, %s", test.name, speed.name), func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				address, closed := answerWith(t, test.begin, strings.Repeat(test.again, speed.times), speed.pause)
+				address, closed, err := endless.Listen(t.Context(), test.begin, strings.Repeat(test.again, speed.times), speed.pause)
+				is.NoErr(err)
 				p := httpconn.NewPool(address, httpconn.Options{DialTimeout: time.Second, MaxIdle: 4, MaxBody: 1 << 20, Budget: httpconn.NewBudget(1 << 20)})
 				const allowed = 1500 * time.Millisecond
 				ctx, cancel := context.WithTimeout(context.Background(), allowed)
