--- a/internal/traffic/httpconn/upload_test.go
+++ b/internal/traffic/httpconn/upload_test.go
@@ -19,6 +19,20 @@
 // unsized hides the length of a body, so that it is sent in chunks.
 type unsized struct{ io.Reader }
 
+// serveUploads returns a server with a limit for each request body and a budget for all, in
+// bytes.
+func serveUploads(t *testing.T, limit, budget int64, h httpconn.Handler) *httpconn.Server {
+	t.Helper()
+	s, err := httpconn.Listen("127.0.0.1:0", func() httpconn.Limits {
+		return httpconn.Limits{Header: 16 << 10, Body: limit, HeaderTimeout: time.Second, IdleTimeout: timeout}
+	}, h)
+	is.New(t).NoErr(err)
+	s.Budget = httpconn.NewBudget(budget)
+	go func() { _ = s.Serve(context.Background()) }()
+	t.Cleanup(s.Close)
+	return s
+}
+
 // Request bodies had no bound but the limit for each, and several at once took a node over
 // its memory limit. Those that exceed the budget are now read and dropped, and their
 // connections stay usable.
@@ -43,9 +57,7 @@
 			t.Parallel()
 			is := is.New(t)
 			var whole, dropped atomic.Int64
-			s, err := httpconn.Listen("127.0.0.1:0", func() httpconn.Limits {
-				return httpconn.Limits{Header: 16 << 10, Body: limit, HeaderTimeout: time.Second, IdleTimeout: timeout}
-			}, func(_ context.Context, r *httpconn.Request) *httpconn.Response {
+			s := serveUploads(t, limit, test.budget, func(_ context.Context, r *httpconn.Request) *httpconn.Response {
 				if r.Discarded {
 					dropped.Add(1)
 					return &httpconn.Response{Status: http.StatusServiceUnavailable}
@@ -54,10 +66,6 @@
 				time.Sleep(200 * time.Millisecond) // the body is held meanwhile
 				return &httpconn.Response{Status: http.StatusOK, Body: []byte(fmt.Sprint(len(r.Body), bytes.Count(r.Body, []byte("x"))))}
 			})
-			is.NoErr(err)
-			s.Budget = httpconn.NewBudget(test.budget)
-			go func() { _ = s.Serve(context.Background()) }()
-			defer s.Close()
 
 			var group sync.WaitGroup
 			for range clients {
@@ -107,21 +115,15 @@
 	t.Parallel()
 	is := is.New(t)
 	const size = 1 << 20
-	s, err := httpconn.Listen("127.0.0.1:0", func() httpconn.Limits {
-		return httpconn.Limits{Header: 16 << 10, Body: size, HeaderTimeout: time.Second, IdleTimeout: timeout}
-	}, func(context.Context, *httpconn.Request) *httpconn.Response {
+	s := serveUploads(t, size, 4*size, func(context.Context, *httpconn.Request) *httpconn.Response {
 		return &httpconn.Response{Status: http.StatusOK}
 	})
-	is.NoErr(err)
-	s.Budget = httpconn.NewBudget(4 * size)
-	go func() { _ = s.Serve(context.Background()) }()
-	defer s.Close()
 	for _, head := range []string{
 		fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size),
 		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n80000\r\n",
 	} {
 		c, _ := dial(t, s.Address())
-		_, err = io.WriteString(c, head+strings.Repeat("x", size/2))
+		_, err := io.WriteString(c, head+strings.Repeat("x", size/2))
 		is.NoErr(err)
 		waitUsed(t, s.Budget, size/2, 2*size)
 		is.NoErr(c.Close())
@@ -134,18 +136,12 @@
 	t.Parallel()
 	is := is.New(t)
 	const limit = 1 << 20
-	s, err := httpconn.Listen("127.0.0.1:0", func() httpconn.Limits {
-		return httpconn.Limits{Header: 16 << 10, Body: limit, HeaderTimeout: time.Second, IdleTimeout: timeout}
-	}, func(_ context.Context, r *httpconn.Request) *httpconn.Response {
+	s := serveUploads(t, limit, limit/2, func(_ context.Context, r *httpconn.Request) *httpconn.Response {
 		return &httpconn.Response{Status: http.StatusOK, Body: []byte(fmt.Sprint(r.Discarded))}
 	})
-	is.NoErr(err)
-	s.Budget = httpconn.NewBudget(limit / 2)
-	go func() { _ = s.Serve(context.Background()) }()
-	defer s.Close()
 	c, in := dial(t, s.Address())
 	// The budget has room for the first buffers only.
-	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n80000\r\n"+strings.Repeat("x", limit/2)+"\r\n")
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n80000\r\n"+strings.Repeat("x", limit/2)+"\r\n")
 	is.NoErr(err)
 	time.Sleep(200 * time.Millisecond)
 	waitUsed(t, s.Budget, 0, 0)
