coldstart: bound on the requests to a cold target

Cause: targets that come back cold get all the requests that their slots allow at once, more than they tolerate, and crash again. Admission knew a bound on the running requests and a rate that targets name in answers, which a cold target can't give yet.

Admission asks it beside the slots and the named rate, and the load that it reports is at least the part of the bound in use, so that senders choose other targets although slots are free.

Ruled out: a window alone.

--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/coldstart"
 	"chestnutshed.example/chestnutshed/internal/policy/cutoff"
 	"chestnutshed.example/chestnutshed/internal/policy/limit"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
@@ -27,7 +28,7 @@
 	// because of it. Without it a too high estimate would stay, since a route that
 	// is always refused gets no new samples.
 	holdDecay = 0.99
-	// rateQueueTime bounds the queue of a target with a rate limit: requests that would
+	// rateQueueTime bounds the queue of a target with a bound on its rate: requests that would
 	// wait longer are refused at once.
 	rateQueueTime = 300 * time.Millisecond
 	// minHoldFraction is the fraction of the hold estimate that must remain until
@@ -143,7 +144,9 @@
 	options Options
 	limit   limit.Limit
 	// rate is the limit that the target names on the requests per second.
-	rate   ratelimit.Limit
+	rate ratelimit.Limit
+	// cold bounds the requests while the target is cold.
+	cold   *coldstart.Limiter
 	queue  *queue.Queue
 	cutoff *cutoff.Regulator
 
@@ -168,6 +171,7 @@
 	return &Controller{
 		options:      options,
 		limit:        limit.New(0),
+		cold:         coldstart.New(),
 		queue:        queue.New(options.Order, minQueue),
 		cutoff:       cutoff.New(),
 		running:      map[uint64]running{},
@@ -198,28 +202,33 @@
 // Rate is the limit on the requests per second.
 func (c *Controller) Rate() ratelimit.Limit { return c.rate }
 
+// Cold bounds the requests while the target is cold.
+func (c *Controller) Cold() *coldstart.Limiter { return c.cold }
+
+// maxRate is the number of requests per second that may be sent, infinite without a bound.
+func (c *Controller) maxRate(now time.Time) float64 {
+	return min(c.rate.Rate(now), c.cold.Rate(now))
+}
+
 func (c *Controller) resizeQueue(now time.Time) {
-	size := max(minQueue, c.limit.Ceiling()*queuePerSlot)
-	if c.rate.Active(now) {
-		size = int(min(float64(size), max(1, c.rate.Rate(now)*rateQueueTime.Seconds())))
-	}
-	c.queue.Resize(size)
+	size := float64(max(minQueue, c.limit.Ceiling()*queuePerSlot))
+	c.queue.Resize(int(min(size, max(1, c.maxRate(now)*rateQueueTime.Seconds()))))
 }
 
-// usableSlots is the number of slots that can be in use: with a rate limit, no more than
-// what requests at that rate hold.
+// usableSlots is the number of slots that can be in use: with a bound on the rate, no more
+// than what requests at that rate hold.
 func (c *Controller) usableSlots(now time.Time) int {
 	slots := c.limit.Value()
-	hold := c.cutoff.Hold()
-	if !c.rate.Active(now) || hold == 0 {
+	hold, rate := c.cutoff.Hold(), c.maxRate(now)
+	if math.IsInf(rate, 1) || hold == 0 {
 		return slots
 	}
-	return int(min(float64(slots), max(1, math.Ceil(c.rate.Rate(now)*hold))))
+	return int(min(float64(slots), max(1, math.Ceil(rate*hold))))
 }
 
-// mayStart reports whether a slot is free and the rate limit allows a request.
+// mayStart reports whether a slot is free and the bounds on the rate allow a request.
 func (c *Controller) mayStart(now time.Time) bool {
-	return len(c.running) < c.limit.Value() && c.rate.Allows(now)
+	return len(c.running) < c.limit.Value() && c.rate.Allows(now) && c.cold.Allows(now)
 }
 
 // dropAll drops all waiting requests as not ready, so that callers try another
@@ -313,6 +322,7 @@
 func (c *Controller) start(now time.Time, r Request) {
 	c.running[r.ID] = running{route: r.Route, since: now}
 	c.rate = c.rate.WithSent(now)
+	c.cold.RecordSent(now)
 }
 
 // startWaiting gives free slots to waiting requests.
@@ -438,8 +448,10 @@
 }
 
 // Load is the number of running and waiting requests over the slots that can be in use.
+// While the target is cold, it is at least the part of its bound that is in use.
 func (c *Controller) Load(now time.Time) float64 {
-	return float64(len(c.running)+c.queue.Len()) / math.Max(1, float64(c.usableSlots(now)))
+	load := float64(len(c.running)+c.queue.Len()) / math.Max(1, float64(c.usableSlots(now)))
+	return max(load, c.cold.Load(now, c.queue.Len()))
 }
 
 // State is a snapshot for the state dump.
--- a/internal/policy/overload/overload.go
+++ b/internal/policy/overload/overload.go
@@ -12,6 +12,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/admission"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
+	"chestnutshed.example/chestnutshed/internal/policy/coldstart"
 	"chestnutshed.example/chestnutshed/internal/policy/health"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/ratelimit"
@@ -216,6 +217,9 @@
 // Rate is the limit that the target names on the requests per second.
 func (c *Controller) Rate() ratelimit.Limit { return c.admission.Rate() }
 
+// Cold bounds the requests while the target is cold.
+func (c *Controller) Cold() *coldstart.Limiter { return c.admission.Cold() }
+
 // Load is the number of running and waiting requests divided by the usable slots.
 func (c *Controller) Load(now time.Time) float64 { return c.admission.Load(now) }
 
