inbound, relay: bound cold targets and serve evacuations

The configuration of a service names the cold time and rate, settings their factor and slack, heartbeats and health checks how long a target stays cold. All work for a target passes the node beside it, so the bound is kept there alone, also by nodes that are out of touch. A target whose port refused a connection or that crashed counts as cold for the cold time, as does one whose zone is taken back; the latter is asked with one health check. Calls are refused as not run while the node does not know the bound yet.

The relay leaves out targets of evacuated zones, and the node beside a target refuses calls as not run while its zone is evacuated, whoever sends. Settings without an evacuation delay and services without a cold rate work as before.

ParseHealth returns what an answer says in a struct, Announcement says whether the cold time is known.

--- a/cmd/chestnutshed/mesh.go
+++ b/cmd/chestnutshed/mesh.go
@@ -54,7 +54,7 @@
 	log := lines.Logger(severity)
 	store := platform.NewStore(s.Store)
 	n, err := node.New(s, node.Adapter{
-		Dialect: platform.Dialect{}, Source: store, Directory: store, Leaves: store.Leaves(), Ready: platform.Ready,
+		Dialect: platform.Dialect{}, Source: store, Directory: store, Leaves: store.Leaves(), Evacuations: store.Evacuations(), Ready: platform.Ready,
 		Announcements: func(sink *inbound.Service, address string, now func() time.Time, log *logrus.Entry) http.Handler {
 			return platform.Announcements(sink, address, now, log)
 		},
--- a/internal/config/rules/rules.go
+++ b/internal/config/rules/rules.go
@@ -90,6 +90,10 @@
 	Connections int
 	// HealthPath is the path of the targets' health check; empty for none.
 	HealthPath string
+	// ColdTime is how long a target is cold after its start. ColdRate is the requests per
+	// second that it tolerates meanwhile, 0 for no bound.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // ServiceByName returns a service, or nil.
--- a/internal/config/settings/mesh.go
+++ b/internal/config/settings/mesh.go
@@ -34,6 +34,13 @@
 	Window Seconds `json:"window,omitempty"`
 }
 
+// ColdLimits bound the requests of one second to a cold target, over all nodes: Overage
+// times the rate that it tolerates, or just that rate if Overage is 0, and Slack more.
+type ColdLimits struct {
+	Overage float64 `json:"overage"`
+	Slack   float64 `json:"slack"`
+}
+
 // Public holds the advertised addresses of a node, IP:port. They differ from the
 // listen addresses behind NAT or a port forwarder. The default is the listen
 // address.
@@ -73,7 +80,12 @@
 	// RevokeDelay is the maximum time that a revoked key may still be accepted.
 	RevokeDelay Seconds     `json:"revoke"`
 	Retries     RetryLimits `json:"extra,omitzero"`
-	Level       string      `json:"level,omitempty"`
+	// Cold bounds the requests to cold targets of services that name a rate for them.
+	Cold ColdLimits `json:"cold,omitzero"`
+	// EvacuationDelay is the maximum time until an evacuation of an availability zone is
+	// in force; 0 if there are no evacuations.
+	EvacuationDelay Seconds `json:"evacuate,omitempty"`
+	Level           string  `json:"level,omitempty"`
 }
 
 // Defaults returns a copy with the defaults for empty optional fields.
@@ -141,6 +153,9 @@
 	if m.Retries.Ratio < 0 || m.Retries.Slack < 0 || m.Retries.Window < 0 {
 		add("extra", "ratio, slack and window must not be negative")
 	}
+	if m.Cold.Overage < 0 || m.Cold.Slack < 0 || m.EvacuationDelay < 0 {
+		add("cold, evacuate", "must not be negative")
+	}
 	return errors.Join(errs...)
 }
 
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,12 +19,14 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/departure"
+	"chestnutshed.example/chestnutshed/internal/fleet/evacuation"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/quota"
 	"chestnutshed.example/chestnutshed/internal/fleet/rejection"
 	"chestnutshed.example/chestnutshed/internal/fleet/roster"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
+	"chestnutshed.example/chestnutshed/internal/policy/coldstart"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/retrybudget"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
@@ -82,6 +85,7 @@
 	Source        confsync.Source
 	Directory     roster.Directory
 	Leaves        departure.Store
+	Evacuations   evacuation.Source
 	Announcements func(sink *inbound.Service, address string, now func() time.Time, log *logrus.Entry) http.Handler
 	Ready         func(ready func() bool) http.Handler
 }
@@ -99,10 +103,12 @@
 	quarantine *quarantine.Service
 	rejections *rejection.Service
 	departures *departure.Service
-	inbound    *inbound.Service
-	relay      *relay.Service
-	callers    *httpconn.Server
-	peers      *httpconn.Server
+	// evacuations are the availability zones that get no work.
+	evacuations *evacuation.Service
+	inbound     *inbound.Service
+	relay       *relay.Service
+	callers     *httpconn.Server
+	peers       *httpconn.Server
 
 	draining atomic.Bool
 }
@@ -132,6 +138,9 @@
 	n.rejections = rejection.New(clock.Now, n.logger(rejection.Name))
 	n.roster.AddTopic(rejection.Name, n.rejections)
 	n.departures = departure.New(s.Node, adapter.Leaves, n.roster.IsFirst, n.logger(departure.Name))
+	n.evacuations = evacuation.New(now, s.Zone, s.EvacuationDelay.Duration(), adapter.Evacuations, n.roster, n.logger(evacuation.Name))
+	n.roster.AddTopic(evacuation.Name, n.evacuations)
+	n.metricSet.NewGauge("evacuated_zones", func() float64 { return float64(n.evacuations.Count(clock.Now())) })
 	answers := httpconn.NewBudget(responseBudget(s))
 	n.inbound = inbound.New(inbound.Options{
 		Address: s.Target, ResponseBudget: answers, Retries: retrybudget.Limits{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration()}, OnChange: n.publishTarget,
@@ -143,18 +152,20 @@
 		HealthPath:  n.healthPath,
 		HasLeft:     func(instance string, born int64) bool { return n.roster.TargetLeft(instance, born) },
 		TargetCount: func(service string) int { return len(n.roster.Serving(clock.Now(), service)) },
+		OwnZone:     n.evacuations.OwnZone,
+		ColdBound:   n.coldBound,
 		Downstream: func(now time.Time, service, route string) []balancer.Downstream {
 			return n.relay.Downstream(now, service, route)
 		},
 	}, adapter.Dialect, n.metricSet, n.logger(inbound.Name))
 	n.relay = relay.New(s.Zone, n.relaySettings(s), relay.Deps{
 		Dialect: adapter.Dialect, Config: n.config, Roster: n.roster, Quota: n.rates,
-		Inbound: n.inbound, Quarantine: n.quarantine, Rejections: n.rejections, ResponseBudget: answers, Backlogged: n.backlogged, Metrics: n.metricSet, Log: n.logger(relay.Name),
+		Inbound: n.inbound, Quarantine: n.quarantine, Rejections: n.rejections, Evacuations: n.evacuations, ResponseBudget: answers, Backlogged: n.backlogged, Metrics: n.metricSet, Log: n.logger(relay.Name),
 	})
 	if err := n.listen(adapter); err != nil {
 		return nil, err
 	}
-	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.quarantine, n.rejections, n.departures, n.inbound, n.relay} {
+	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.quarantine, n.rejections, n.departures, n.evacuations, n.inbound, n.relay} {
 		if err := n.kernel.Register(service); err != nil {
 			return nil, fmt.Errorf("assemble node: %w", err)
 		}
@@ -193,6 +204,22 @@
 	return ""
 }
 
+// coldBound returns what targets of a service take while they are cold, and false while
+// that is not known.
+func (n *Node) coldBound(service string) (coldstart.Bound, bool) {
+	c := n.config.Get()
+	if c == nil {
+		return coldstart.Bound{}, n.settings.Cold == settings.ColdLimits{}
+	}
+	rule := c.Rules.ServiceByName(service)
+	if rule == nil {
+		return coldstart.Bound{}, true
+	}
+	return coldstart.Bound{
+		Time: rule.ColdTime, PerSecond: rule.ColdRate, Overage: cmp.Or(n.settings.Cold.Overage, 1), Slack: n.settings.Cold.Slack,
+	}, true
+}
+
 func (n *Node) logger(service string) *logrus.Entry { return n.log.WithField("component", service) }
 
 func (n *Node) relaySettings(s settings.Mesh) relay.Settings {
--- a/internal/policy/lifecycle/lifecycle.go
+++ b/internal/policy/lifecycle/lifecycle.go
@@ -40,8 +40,10 @@
 	// Slots is the number of requests that the target runs concurrently.
 	Slots   int
 	Leaving bool
-	// Cold is the rest of the time that the target is slow after its start.
-	Cold time.Duration
+	// Cold is how much longer the target stays cold. It is set only if ColdKnown is: if
+	// the target says so, in a form that can be read.
+	Cold      time.Duration
+	ColdKnown bool
 	// Sequence increases with each announcement of an incarnation.
 	Sequence int64
 }
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -310,6 +310,31 @@
 	Limit   Limit
 }
 
+// HealthInfo is what the answer to a health check says of its target.
+type HealthInfo struct {
+	// ID is that of the target, or "" unless it is healthy and does not leave.
+	ID string
+	// Cold is how much longer the target stays cold.
+	Cold Coldness
+}
+
+// Coldness is what an answer says about how long its target stays cold: NoColdness,
+// ColdFor or InvalidColdness.
+type Coldness interface{ coldness() }
+
+// NoColdness means that the answer does not say.
+type NoColdness struct{}
+
+// ColdFor is the rest of the time that the target stays cold, 0 if it is warm.
+type ColdFor struct{ Left time.Duration }
+
+// InvalidColdness is a time that can't be read.
+type InvalidColdness struct{ Text string }
+
+func (NoColdness) coldness()      {}
+func (ColdFor) coldness()         {}
+func (InvalidColdness) coldness() {}
+
 // Limit is what a response says about the rate of requests that its target takes from
 // all VMs together: NoLimit, NamedLimit or InvalidLimit.
 type Limit interface{ limit() }
@@ -335,9 +360,8 @@
 	Outgoing(h http.Header, c Call)
 	// ParseReply decodes the status and headers of a target's response.
 	ParseReply(status int, h http.Header) ReplyInfo
-	// ParseHealth returns the ID of the target that gave this answer to a health check,
-	// or "" unless the target is healthy and does not leave.
-	ParseHealth(status int, h http.Header) string
+	// ParseHealth decodes the status and headers of the answer to a health check.
+	ParseHealth(status int, h http.Header) HealthInfo
 	// Refusal returns the response to a request that the node itself refuses. id may
 	// be empty, and after is when a retry makes sense.
 	Refusal(id string, status int, after time.Duration, reason failure.Reason) *httpconn.Response
--- a/internal/traffic/inbound/crash.go
+++ b/internal/traffic/inbound/crash.go
@@ -181,6 +181,7 @@
 	}
 	s.mu.Lock()
 	s.ejectedUntil = now.Add(ejectionTime)
+	s.doubtWarmth(now)
 	s.mu.Unlock()
 	s.crashCount.Inc()
 	runs := make([]poison.Run, 0, len(inFlight))
--- a/internal/traffic/inbound/health.go
+++ b/internal/traffic/inbound/health.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
+	"chestnutshed.example/chestnutshed/internal/fleet/evacuation"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
+	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"github.com/sirupsen/logrus"
 )
@@ -38,20 +40,24 @@
 }
 
 // confirm asks the target beside the node whether it leaves, when the store does not tell
-// what earlier processes acknowledged.
+// what earlier processes acknowledged. Only targets of an open zone are asked.
 func (s *Service) confirm(now time.Time, target lifecycle.Target) {
 	a, ok := target.Pending()
 	if !ok || now.Sub(s.startedAt) < healthDelay || now.Sub(s.health.last) < healthInterval {
 		return
 	}
 	path := s.health.path(a.Service)
-	if path == "" || s.hasLeft(a.ID, a.Born) || !s.health.running.CompareAndSwap(false, true) {
+	if path == "" || s.ownZone(now) != evacuation.Open || s.hasLeft(a.ID, a.Born) || !s.health.running.CompareAndSwap(false, true) {
 		return
 	}
 	s.health.last = now
+	s.mu.Lock()
+	s.overload.Cold().RecordSent(now)
+	s.mu.Unlock()
 	go func() {
 		defer s.health.running.Store(false)
-		id, err := s.checkHealth(path)
+		info, err := s.checkHealth(path)
+		id := info.ID
 		log := s.log.WithFields(logrus.Fields{"target": a.ID, "confirmed": id})
 		if err != nil {
 			log = log.WithError(err)
@@ -64,13 +70,13 @@
 	}()
 }
 
-// checkHealth returns the ID of the target, or "" unless it is healthy and does not leave.
-func (s *Service) checkHealth(path string) (string, error) {
+// checkHealth returns what the target says of itself.
+func (s *Service) checkHealth(path string) (call.HealthInfo, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), healthInterval)
 	defer cancel()
 	resp, err := s.health.pool.Do(ctx, &httpconn.Request{Method: http.MethodGet, Target: path, Host: s.health.pool.Address(), Header: http.Header{}}, httpconn.Reuse{Fresh: true})
 	if err != nil {
-		return "", fmt.Errorf("check health of target: %w", err)
+		return call.HealthInfo{}, fmt.Errorf("check health of target: %w", err)
 	}
 	return s.dialect.ParseHealth(resp.Status, resp.Header), nil
 }
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -16,10 +16,12 @@
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/departure"
+	"chestnutshed.example/chestnutshed/internal/fleet/evacuation"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/rejection"
 	"chestnutshed.example/chestnutshed/internal/policy/admission"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
+	"chestnutshed.example/chestnutshed/internal/policy/coldstart"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
 	"chestnutshed.example/chestnutshed/internal/policy/cutoff"
 	"chestnutshed.example/chestnutshed/internal/policy/latency"
@@ -62,6 +64,8 @@
 	// answeredLeaveTimeout is how long a leave that the target said in an answer may take
 	// to be kept before that is logged.
 	answeredLeaveTimeout = 2 * time.Second
+	// zoneInterval is the time between checks of the state of the availability zone.
+	zoneInterval = 50 * time.Millisecond
 	// rationingInterval is the time between updates of which calls may be retried.
 	rationingInterval = 100 * time.Millisecond
 	// unavailableRetryAfter is the Retry-After for calls to a target that is
@@ -108,13 +112,17 @@
 	// can be attributed to it.
 	suspectSlot chan struct{}
 	draining    bool
-	startedAt   time.Time
-	backlogged  func() bool
-	synced      func(now time.Time) bool
-	hasLeft     func(instance string, born int64) bool
-	departures  *departure.Service
-	health      *healthCheck
-	lastID      atomic.Uint64
+	// zone is the state of the target's availability zone, as last returned by ownZone.
+	zone       evacuation.Status
+	ownZone    func(now time.Time) evacuation.Status
+	coldBound  func(service string) (coldstart.Bound, bool)
+	startedAt  time.Time
+	backlogged func() bool
+	synced     func(now time.Time) bool
+	hasLeft    func(instance string, born int64) bool
+	departures *departure.Service
+	health     *healthCheck
+	lastID     atomic.Uint64
 
 	sends, refusals, losses, crashCount *metrics.Counter
 	duration                            *metrics.Histogram
@@ -157,6 +165,12 @@
 	Rejections *rejection.Service
 	// ResponseBudget bounds the memory used by large responses.
 	ResponseBudget *httpconn.Budget
+	// OwnZone returns the state of the target's availability zone. The target gets work
+	// only while it is open.
+	OwnZone func(now time.Time) evacuation.Status
+	// ColdBound returns what targets of a service take while they are cold, and false
+	// while that is not known.
+	ColdBound func(service string) (coldstart.Bound, bool)
 	// OnChange is called when the target changes.
 	OnChange ChangeFunc
 }
@@ -165,6 +179,7 @@
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
 		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), rationing: rationing.New(), rejections: o.Rejections, targetCount: o.TargetCount, downstream: o.Downstream,
+		ownZone: o.OwnZone, coldBound: o.ColdBound, zone: o.OwnZone(clock.Now()),
 		startedAt: clock.Now(), backlogged: o.Backlogged, synced: o.Synced, hasLeft: o.HasLeft, departures: o.Departures, health: newHealthCheck(o.Address, o.HealthPath), target: lifecycle.AwaitingHistory(),
 		overload: overload.New(admission.Sidecar()), waiting: map[uint64]chan decision{}, serviceTimes: latency.New(clock.Now()),
 		runningCalls: correlation.New(clock.Now()), crashes: newCrashDetector(o.Address),
@@ -187,6 +202,15 @@
 			return httpconn.OtherRequest
 		},
 	})
+	s.overload.Cold().SetStarted(s.startedAt)
+	set.NewGauge("target_cold", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.overload.Cold().Active(clock.Now()) {
+			return 1
+		}
+		return 0
+	})
 	set.NewGauge("target_resends_total", func() float64 { return float64(s.pool.Resends()) })
 	return s
 }
@@ -255,6 +279,7 @@
 	before := s.target
 	next, changed := f(before)
 	s.target = next
+	s.recordWarmth(now, before, next)
 	if changed {
 		if !next.Is(before.Last.ID, before.Last.Born) {
 			s.overload.ResetHealth()
@@ -277,9 +302,10 @@
 	return true
 }
 
-// slots returns the number of usable slots: none once the node drains.
+// slots returns the number of usable slots: none once the node drains or unless its
+// availability zone is open.
 func (s *Service) slots() int {
-	if s.draining {
+	if s.draining || s.zone != evacuation.Open {
 		return 0
 	}
 	return s.target.Slots()
@@ -315,7 +341,7 @@
 	defer s.mu.Unlock()
 	now := clock.Now()
 	cut := s.overload.Cutoff()
-	if s.target.State != lifecycle.Ready || s.draining || now.Before(s.ejectedUntil) {
+	if s.target.State != lifecycle.Ready || s.draining || s.zone != evacuation.Open || now.Before(s.ejectedUntil) {
 		cut = priority.AdmitNone
 	}
 	return call.Load{
@@ -399,7 +425,11 @@
 		targetCount = s.targetCount(c.Service)
 	}
 	s.mu.Lock()
-	if refused := s.checkTarget(now, c); refused != nil {
+	refused := s.checkTarget(now, c)
+	if refused == nil {
+		refused = s.checkOpen()
+	}
+	if refused != nil {
 		s.mu.Unlock()
 		return refused
 	}
@@ -418,7 +448,6 @@
 	}
 	s.notifyWaiting(changes)
 	s.mu.Unlock()
-	var refused *call.Refused
 	switch v := verdict.(type) {
 	case admission.Refuse:
 		refused = &call.Refused{Reason: v.Reason, RetryAfter: v.Backoff}
@@ -572,6 +601,7 @@
 		s.mu.Unlock()
 		s.updateRationing(now)
 	})
+	k.Every(zoneInterval, s.watchZone)
 	k.Every(syncInterval, func(context.Context) { s.applyHistory(clock.Now()) })
 	return nil
 }
@@ -610,5 +640,9 @@
 		State    string                 `json:"state"`
 		Overload overload.State         `json:"intake"`
 		Dials    uint64                 `json:"connections"`
-	}{s.target.Last, s.target.State.String(), s.overload.State(), s.pool.Dials()}
+		// Cold is set while the requests are bounded because the target is cold or was
+		// until lately. Zone is the state of its availability zone.
+		Cold bool   `json:"cold"`
+		Zone string `json:"zone"`
+	}{s.target.Last, s.target.State.String(), s.overload.State(), s.pool.Dials(), s.overload.Cold().Active(clock.Now()), s.zone.String()}
 }
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -69,12 +69,8 @@
 func (s *Service) classify(ctx context.Context, began, now time.Time, id uint64, c call.Call, resp *httpconn.Response, err error) call.Outcome {
 	switch {
 	case errors.Is(err, httpconn.ErrNotSent):
+		s.recordDown(now, errors.Is(err, syscall.ECONNREFUSED))
 		s.release(now, id, admission.Aborted, true)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			s.mu.Lock()
-			s.ejectedUntil = now.Add(ejectionTime)
-			s.mu.Unlock()
-		}
 		return call.Refused{Reason: failure.NotReady, RetryAfter: ejectionTime}
 	case err != nil && ctx.Err() != nil:
 		s.release(now, id, admission.Aborted, errors.Is(ctx.Err(), context.DeadlineExceeded))
@@ -103,6 +99,17 @@
 	return call.Answered{Response: resp, InnerFailed: inner}
 }
 
+// recordDown records that the target did not take a connection, and whether its port
+// refused it.
+func (s *Service) recordDown(now time.Time, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if refused {
+		s.ejectedUntil = now.Add(ejectionTime)
+	}
+	s.doubtWarmth(now)
+}
+
 // keepAnsweredLeave keeps a leave that a target has said in an answer, which nobody waits
 // for.
 func (s *Service) keepAnsweredLeave(l lifecycle.Leave) {
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -16,6 +16,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/evacuation"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/quota"
 	"chestnutshed.example/chestnutshed/internal/fleet/rejection"
@@ -101,6 +102,8 @@
 	Quarantine *quarantine.Service
 	// Rejections knows which services reject calls at their targets.
 	Rejections *rejection.Service
+	// Evacuations knows the availability zones that get no work.
+	Evacuations *evacuation.Service
 	// ResponseBudget bounds the memory used by large responses.
 	ResponseBudget *httpconn.Budget
 	// Backlogged reports whether responses that wait for slow readers take too much
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -33,7 +33,7 @@
 		s.rejectionsAt = now
 		s.balancer.SetRejecting(s.Rejections.Rejecting(now))
 	}
-	pick, refusal := s.balancer.Choose(now, s.candidates(all), balancer.Call{
+	pick, refusal := s.balancer.Choose(now, s.candidates(now, all), balancer.Call{
 		Route: q.route.Name, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Repeatable: q.route.Idempotent, Tried: tried,
 	})
 	if refusal == nil {
@@ -42,13 +42,15 @@
 	return pick, refusal
 }
 
-// candidates converts roster entries to candidates. The result is valid until the
+// candidates converts roster entries to candidates, without those in evacuated
+// availability zones. The result is valid until the
 // next call. The caller holds mu.
-func (s *Service) candidates(list []roster.Serving) []balancer.Candidate {
+func (s *Service) candidates(now time.Time, list []roster.Serving) []balancer.Candidate {
+	evacuating := s.Evacuations.Any()
 	s.candidateBuf = s.candidateBuf[:0]
 	for i := range list {
 		r := &list[i]
-		if s.targets.hasLeft(incarnationOf(r.Record)) {
+		if s.targets.hasLeft(incarnationOf(r.Record)) || (evacuating && s.Evacuations.Has(now, r.Zone)) {
 			continue
 		}
 		s.candidateBuf = append(s.candidateBuf, balancer.Candidate{
@@ -127,7 +129,7 @@
 	all := s.Roster.Serving(now, service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.balancer.Downstream(now, s.candidates(all), service, route)
+	return s.balancer.Downstream(now, s.candidates(now, all), service, route)
 }
 
 func (s *Service) recordCancelled(id string) {
