--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -69,12 +69,10 @@
 func (s *Service) classify(ctx context.Context, began, now time.Time, id uint64, c call.Call, resp *httpconn.Response, err error) call.Outcome {
 	switch {
 	case errors.Is(err, httpconn.ErrNotSent):
-		s.release(now, id, admission.Aborted, true)
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			s.mu.Lock()
-			s.ejectedUntil = now.Add(ejectionTime)
-			s.mu.Unlock()
+			s.recordDown(now)
 		}
+		s.release(now, id, admission.Aborted, true)
 		return call.Refused{Reason: failure.NotReady, RetryAfter: ejectionTime}
 	case err != nil && ctx.Err() != nil:
 		s.release(now, id, admission.Aborted, errors.Is(ctx.Err(), context.DeadlineExceeded))
@@ -103,6 +101,15 @@
 	return call.Answered{Response: resp, InnerFailed: inner}
 }
 
+// recordDown records that the target's port refuses connections. When it takes them again,
+// the target may be cold.
+func (s *Service) recordDown(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ejectedUntil = now.Add(ejectionTime)
+	s.doubtWarmth(now)
+}
+
 // keepAnsweredLeave keeps a leave that a target has said in an answer, which nobody waits
 // for.
 func (s *Service) keepAnsweredLeave(l lifecycle.Leave) {
