call: the pace of a target is read from its load header and reported to senders

Targets tell in a fourth figure of their load header how long work takes at this moment. Nothing read it. The node beside the target keeps it, with its mean, and reports it with each result: load over effective slots, service times at the usual pace, and the pace itself. Results also say how long the node had a call, so that senders can measure the way between zones.

Nothing uses the figures yet, except that load is over effective slots.

--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -141,13 +141,20 @@
 
 // Load is the state of the target that a serving node reports with each result.
 type Load struct {
-	// Load is the number of running and queued calls divided by the slots.
+	// Load is the number of running and queued calls divided by the effective slots:
+	// the slots over the pace.
 	Load float64
+	// Pace is the time that work takes on the target at this moment, as a multiple of the
+	// usual; 0 if the target does not tell it.
+	Pace float64
 	// Cutoff is the highest score that is admitted.
 	Cutoff priority.Cutoff
-	// ServiceTime is the mean time that a call of the route takes a slot, in
-	// seconds.
+	// ServiceTime is the mean time that a call of the route takes a slot at the usual
+	// pace, in seconds.
 	ServiceTime float64
+	// Held is how long the node had the call, in seconds. The rest of the time that the
+	// sender waited is the way there and back.
+	Held float64
 	// TargetRate is the rate limit that the target names, in requests per second; 0 for
 	// none.
 	TargetRate float64
@@ -179,7 +186,9 @@
 type encodedResult struct {
 	Load        int64               `json:"load,omitempty"`
 	Cutoff      int64               `json:"cut"`
+	Pace        int64               `json:"pace,omitempty"`
 	ServiceTime int64               `json:"hold,omitempty"`
+	Held        int64               `json:"took,omitempty"`
 	TargetRate  float64             `json:"rate,omitempty"`
 	TargetLeft  bool                `json:"off,omitempty"`
 	Downstream  []encodedDownstream `json:"below,omitempty"`
@@ -229,7 +238,7 @@
 func Encode(o Outcome, load Load) (*httpconn.Response, error) {
 	r := encodedResult{
 		Load: int64(load.Load * fractionFactor), Cutoff: int64(load.Cutoff * scoreFactor), ServiceTime: int64(load.ServiceTime * serviceTimeFactor),
-		TargetRate: load.TargetRate, TargetLeft: load.TargetLeft,
+		Pace: int64(load.Pace * fractionFactor), Held: int64(load.Held * serviceTimeFactor), TargetRate: load.TargetRate, TargetLeft: load.TargetLeft,
 	}
 	for _, b := range load.Downstream {
 		r.Downstream = append(r.Downstream, encodedDownstream{b.Service, int64(b.Cutoff * scoreFactor), int64(b.Calls * fractionFactor)})
@@ -265,7 +274,7 @@
 	resp.Header.Del(resultHeader)
 	load := Load{
 		Load: float64(r.Load) / fractionFactor, Cutoff: priority.Cutoff(r.Cutoff) / scoreFactor, ServiceTime: float64(r.ServiceTime) / serviceTimeFactor,
-		TargetRate: r.TargetRate, TargetLeft: r.TargetLeft,
+		Pace: float64(r.Pace) / fractionFactor, Held: float64(r.Held) / serviceTimeFactor, TargetRate: r.TargetRate, TargetLeft: r.TargetLeft,
 	}
 	for _, b := range r.Downstream {
 		load.Downstream = append(load.Downstream, balancer.Downstream{
@@ -308,6 +317,7 @@
 	// Leaving is set when the target says that it leaves.
 	Leaving bool
 	Limit   Limit
+	Pace    Pace
 }
 
 // Limit is what a response says about the rate of requests that its target takes from
@@ -327,6 +337,23 @@
 func (NamedLimit) limit()   {}
 func (InvalidLimit) limit() {}
 
+// Pace is what a response says about how long work takes on its target at this moment:
+// NoPace, NamedPace or InvalidPace.
+type Pace interface{ pace() }
+
+// NoPace means that the target tells no pace.
+type NoPace struct{}
+
+// NamedPace is the time that work takes, as a multiple of the usual; above 0.
+type NamedPace struct{ Factor float64 }
+
+// InvalidPace is a pace that can't be read.
+type InvalidPace struct{ Text string }
+
+func (NoPace) pace()      {}
+func (NamedPace) pace()   {}
+func (InvalidPace) pace() {}
+
 // Dialect converts the headers that callers and targets of a platform use.
 type Dialect interface {
 	// ParseRequest decodes the headers of a caller's request.
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -99,6 +99,7 @@
 	serviceTimes      *latency.Estimator
 	runningCalls      *correlation.Tracker
 	rate              namedRate
+	pace              targetPace
 	// ejectedUntil is until when the target gets no calls, since its port refused
 	// connections.
 	ejectedUntil time.Time
@@ -187,6 +188,11 @@
 			return httpconn.OtherRequest
 		},
 	})
+	set.NewGauge("target_pace", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.pace.At(clock.Now())
+	})
 	set.NewGauge("target_resends_total", func() float64 { return float64(s.pool.Resends()) })
 	return s
 }
@@ -260,6 +266,7 @@
 			s.overload.ResetHealth()
 			s.overload.SetRate(now, ratelimit.Limit{})
 			s.rate = namedRate{}
+			s.pace = targetPace{}
 			s.ejectedUntil = time.Time{}
 			s.serviceTimes.Reset()
 		}
@@ -318,11 +325,15 @@
 	if s.target.State != lifecycle.Ready || s.draining || now.Before(s.ejectedUntil) {
 		cut = priority.AdmitNone
 	}
-	return call.Load{
-		Load: s.overload.Load(now), Cutoff: cut, TargetRate: s.overload.Rate().Named(),
-		TargetLeft: s.target.HasLeft() && s.target.Is(c.Instance, c.Born), ServiceTime: s.serviceTimes.Estimate(now, c.Route),
+	load := call.Load{
+		Load: s.overload.Load(now) * s.pace.At(now), Cutoff: cut, TargetRate: s.overload.Rate().Named(),
+		TargetLeft: s.target.HasLeft() && s.target.Is(c.Instance, c.Born), ServiceTime: s.serviceTimes.Estimate(now, c.Route) / s.pace.Mean(),
 		Downstream: s.overload.Downstream(now, c.Route, s.downstreamAt(now)),
 	}
+	if s.pace.Known() {
+		load.Pace = s.pace.At(now)
+	}
+	return load
 }
 
 // downstreamAt returns a function that looks up what calls made by the target meet.
@@ -552,7 +563,9 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	resp, err := call.Encode(outcome, s.Load(c))
+	load := s.Load(c)
+	load.Held = clock.Now().Sub(r.Received).Seconds()
+	resp, err := call.Encode(outcome, load)
 	if err != nil {
 		s.log.WithError(err).Error("could not encode an outcome for a peer")
 		return nil
@@ -610,5 +623,6 @@
 		State    string                 `json:"state"`
 		Overload overload.State         `json:"intake"`
 		Dials    uint64                 `json:"connections"`
-	}{s.target.Last, s.target.State.String(), s.overload.State(), s.pool.Dials()}
+		Pace     float64                `json:"pace"`
+	}{s.target.Last, s.target.State.String(), s.overload.State(), s.pool.Dials(), s.pace.Mean()}
 }
--- a/internal/traffic/inbound/limit.go
+++ b/internal/traffic/inbound/limit.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// maxLimitText bounds the text of an invalid limit in logs, in bytes.
+	// maxLimitText bounds the text of an invalid limit or pace in logs, in bytes.
 	maxLimitText = 40
 	// minLoggedChange is the least change of a limit that is logged, as a fraction.
 	minLoggedChange = 0.1
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -85,6 +85,7 @@
 	}
 	reply := s.dialect.ParseReply(resp.Status, resp.Header)
 	s.recordLimit(now, began, c, reply.Limit)
+	s.recordPace(now, c, reply.Pace)
 	if reply.Leaving {
 		left := func(t lifecycle.Target) (lifecycle.Target, bool) { return t.WithLeaving(now, c.Instance, c.Born) }
 		if s.update(now, left) {
