balancer: a plan for the zone decides which calls leave it, and targets are drawn by capacity

Placement took the candidate with the least expected time among six of the own zone and two others. Reports at a sender with few calls are seconds old, so all senders followed the same ones, and the fixed penalties per call never let calls of targets leave a full zone. Now a plan per route (policy/spill) moves the fraction of calls that leaves by the load of the own zone and the room of the others. Within the zone four candidates are drawn by capacity and compared by load over effective slots, with old reports drawn to the mean.

--- a/internal/policy/balancer/balancer.go
+++ b/internal/policy/balancer/balancer.go
@@ -1,10 +1,12 @@
 // Package balancer picks the node that a call is sent to.
 //
-// Once the service times of candidates are known, it takes the candidate with
-// the least expected time. Until then it compares two random candidates by
-// load, and prefers the caller's own availability zone while a candidate there
-// has spare capacity. Only candidates that admit the call are considered.
-// Failures that this node observed outrank what a target reports about itself.
+// Once the service times of candidates are known, a plan for the availability zone as a
+// whole decides whether a call leaves it (package spill). Among the candidates of the zone,
+// it compares a few, drawn by capacity, by load over effective slots, and prefers faster ones
+// where that matters for the objective. Until then it compares two random candidates by
+// load, and prefers the own zone while a candidate there has spare capacity. Only candidates
+// that admit the call are considered. Failures that this node observed outrank what a target
+// reports about itself.
 package balancer
 
 import (
@@ -14,7 +16,9 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/pace"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
+	"chestnutshed.example/chestnutshed/internal/policy/spill"
 )
 
 const (
@@ -34,20 +38,6 @@
 	// serviceTimeTTL is how long a reported service time is used. After it, the
 	// candidate is tried as if it were as fast as the fastest.
 	serviceTimeTTL = 5 * time.Second
-	// rootZonePenalty is the fraction of the route's latency objective that a
-	// caller's request must save to go to another availability zone, since
-	// traffic between zones is paid for. innerZonePenalty is the same for calls
-	// made by targets: there are many per request, and the time of each adds to
-	// the time of its caller.
-	rootZonePenalty  = 0.2
-	innerZonePenalty = 0.5
-	// noWaitLoad is the load up to which waiting for a slot is unlikely.
-	// fullStretch is the expected time of a call at load 1, in service times.
-	noWaitLoad  = 0.65
-	fullStretch = 3.0
-	// overloadStretch is the expected wait that each further unit of load adds,
-	// in service times.
-	overloadStretch = 8.0
 	// ejectAfter is the number of consecutive failures that eject a candidate.
 	ejectAfter = 3
 	// minEjection and maxEjection bound the duration of an ejection.
@@ -72,9 +62,12 @@
 
 // observed is what this node has seen of a candidate.
 type observed struct {
-	inFlight     int
-	load         float64
-	loadAt       time.Time
+	inFlight int
+	load     float64
+	loadAt   time.Time
+	// inFlightThen is inFlight when the load was reported.
+	inFlightThen int
+	pace         pace.Pace
 	cutoff       reportedCutoff
 	failures     int
 	ejections    int
@@ -175,8 +168,17 @@
 	// serviceTimes are the service times that candidates reported, by route and
 	// candidate.
 	serviceTimes map[string]map[string]serviceTime
-	// usable and admitting are reused for the candidates of one choice.
-	usable, admitting []Candidate
+	// price is the price of traffic between zones, and hops the round trips there in
+	// seconds.
+	price spill.Price
+	hops  map[string]float64
+	plans map[planKey]*zonePlan
+	// changes are the changes of plans since the last call of PlanChanges.
+	changes []PlanChange
+	// usable, admitting and zoned are reused for the candidates of one choice, and sample
+	// for those that are compared.
+	usable, admitting, zoned []Candidate
+	sample                   []sampled
 }
 
 // serviceTime is a mean service time in seconds.
@@ -187,28 +189,37 @@
 
 // New returns a balancer for a node in an availability zone.
 func New(zone string, random *rand.Rand) *Balancer {
-	return &Balancer{zone: zone, random: random, candidates: map[string]*observed{}, downstream: map[string]reportedCutoff{}, dependencies: map[string]map[string]dependency{}, serviceTimes: map[string]map[string]serviceTime{}, rejecting: map[string]Rejecting{}}
+	return &Balancer{zone: zone, random: random, candidates: map[string]*observed{}, downstream: map[string]reportedCutoff{}, dependencies: map[string]map[string]dependency{}, serviceTimes: map[string]map[string]serviceTime{}, rejecting: map[string]Rejecting{}, price: spill.DefaultPrice(), hops: map[string]float64{}, plans: map[planKey]*zonePlan{}}
 }
 
+// SetPrice sets the price of traffic between availability zones.
+func (b *Balancer) SetPrice(p spill.Price) { b.price = p }
+
 // Call is a call that needs a node.
 type Call struct {
 	Route string
-	Score priority.Score
+	// Service is the service that the candidates belong to.
+	Service string
+	Score   priority.Score
 	// Depth is the number of hops from the root's caller, 1 for the root itself.
 	Depth int
 	// Objective is the latency objective of the route.
 	Objective time.Duration
+	// Remaining is the time until the deadline; 0 if it is not known.
+	Remaining time.Duration
 	// Repeatable is set if the request may run more than once.
 	Repeatable bool
 	// Tried are the IDs of candidates that must not be picked again.
 	Tried []string
 }
 
-func (c Call) zonePenalty() float64 {
-	if c.Depth > 1 {
-		return innerZonePenalty
+// budget is the time within which the call is of use, in seconds.
+func (c Call) budget() float64 {
+	budget := c.Objective
+	if c.Remaining > 0 {
+		budget = min(budget, c.Remaining)
 	}
-	return rootZonePenalty
+	return budget.Seconds()
 }
 
 // Pick is the chosen candidate.
@@ -217,6 +228,8 @@
 	// Forced is set when all candidates are failing or ejected and one was
 	// picked all the same.
 	Forced bool
+	// Left is why the call leaves the availability zone; empty if it stays.
+	Left spill.Reason
 }
 
 // Choose returns the candidate for a call. It returns failure.NoTarget when no
@@ -249,10 +262,23 @@
 	if len(admitting) == 0 {
 		return Pick{}, failure.New(failure.Overload, "every target of the service is overloaded")
 	}
-	if fastest, ok := b.fastest(now, admitting, call); ok {
-		return Pick{Candidate: fastest, Forced: forced}, nil
+	best := b.leastServiceTime(now, admitting, call.Route)
+	if best == 0 {
+		return b.left(Pick{Candidate: b.lessLoaded(now, b.preferZone(now, admitting)), Forced: forced}), nil
+	}
+	zoned, reason := b.inZone(now, usable, admitting, call)
+	if len(zoned) == 0 {
+		return Pick{}, failure.New(failure.Overload, "every target of the zone is overloaded")
+	}
+	return Pick{Candidate: b.place(now, zoned, call, best), Forced: forced, Left: reason}, nil
+}
+
+// left sets the reason of a pick outside the zone that no plan has decided.
+func (b *Balancer) left(p Pick) Pick {
+	if p.Candidate.Zone != b.zone {
+		p.Left = spill.Absent
 	}
-	return Pick{Candidate: b.lessLoaded(now, b.preferZone(now, admitting)), Forced: forced}, nil
+	return p
 }
 
 func without(all []Candidate, tried []string) []Candidate {
@@ -316,68 +342,6 @@
 	return all
 }
 
-// ownZoneSample and otherZoneSample are the numbers of candidates of the own
-// availability zone and of the others whose expected times are compared. A
-// small sample keeps nodes with the same reports from all sending to one
-// target. Some candidates of the own zone are in each sample, so that no call
-// leaves the zone because none was sampled.
-const (
-	ownZoneSample   = 6
-	otherZoneSample = 2
-)
-
-// fastest returns the sampled candidate with the least expected time for a
-// call. It returns false while no candidate's service time is known.
-func (b *Balancer) fastest(now time.Time, all []Candidate, call Call) (Candidate, bool) {
-	best, serviceTimes := 0.0, b.serviceTimes[call.Route]
-	for _, k := range all {
-		if s, ok := serviceTimes[k.ID]; ok && now.Sub(s.at) < serviceTimeTTL && (best == 0 || s.mean < best) {
-			best = s.mean
-		}
-	}
-	if best == 0 {
-		return Candidate{}, false
-	}
-	var pick Candidate
-	least := 0.0
-	start := b.random.IntN(len(all))
-	own, other := 0, 0
-	for i := range all {
-		k := all[(start+i)%len(all)]
-		if k.Zone == b.zone {
-			own++
-		} else {
-			other++
-		}
-		if (k.Zone == b.zone && own > ownZoneSample) || (k.Zone != b.zone && other > otherZoneSample) {
-			continue
-		}
-		cost := best
-		if s, ok := serviceTimes[k.ID]; ok && now.Sub(s.at) < serviceTimeTTL {
-			cost = s.mean
-		}
-		cost *= stretch(b.loadOf(now, k))
-		if k.Zone != b.zone {
-			cost += call.zonePenalty() * call.Objective.Seconds()
-		}
-		if pick.ID == "" || cost < least {
-			pick, least = k, cost
-		}
-	}
-	return pick, true
-}
-
-// stretch returns the expected time of a call at a load, in service times.
-func stretch(load float64) float64 {
-	switch {
-	case load <= noWaitLoad:
-		return 1
-	case load <= 1:
-		return 1 + (fullStretch-1)*(load-noWaitLoad)/(1-noWaitLoad)
-	}
-	return fullStretch + overloadStretch*(load-1)
-}
-
 // lessLoaded returns the less loaded of two random candidates.
 func (b *Balancer) lessLoaded(now time.Time, all []Candidate) Candidate {
 	if len(all) == 1 {
@@ -403,10 +367,7 @@
 	if now.Sub(o.loadAt) < loadTTL {
 		load = max(load, o.load)
 	}
-	if age := now.Sub(k.ReadySince); !k.ReadySince.IsZero() && age < warmup {
-		load *= float64(warmup) / float64(max(age, warmup/20))
-	}
-	return load
+	return load / warmth(now, k)
 }
 
 func (b *Balancer) get(id string) *observed {
@@ -430,16 +391,27 @@
 	Load       float64
 	Cutoff     priority.Cutoff
 	Downstream []Downstream
-	// ServiceTime is the candidate's mean service time for the route in seconds;
-	// 0 if it is not reported.
+	// ServiceTime is the candidate's mean service time for the route at the usual pace,
+	// in seconds; 0 if it is not reported.
 	ServiceTime float64
+	// Pace is the time that work takes there at this moment, as a multiple of the usual; 0
+	// if it is not reported.
+	Pace float64
+	// Zone is the candidate's availability zone, and Hop the round trip there in seconds; 0
+	// if it was not measured.
+	Zone string
+	Hop  float64
 }
 
 // Answered records an answer of the candidate's node, also a refusal.
 func (b *Balancer) Answered(now time.Time, id string, r Report) {
 	o := b.get(id)
 	o.inFlight = max(0, o.inFlight-1)
-	o.load, o.loadAt = r.Load, now
+	o.load, o.loadAt, o.inFlightThen = r.Load, now, o.inFlight
+	if r.Pace > 0 {
+		o.pace = o.pace.WithReported(now, r.Pace)
+	}
+	b.recordHop(r)
 	o.cutoff = reportedCutoff{cutoff: r.Cutoff, at: now}
 	b.recordDownstream(now, r)
 	b.recordServiceTime(now, id, r)
@@ -530,6 +502,7 @@
 			delete(b.candidates, id)
 		}
 	}
+	b.prunePlans()
 	for route, serviceTimes := range b.serviceTimes {
 		maps.DeleteFunc(serviceTimes, func(id string, _ serviceTime) bool { return !present(id) })
 		if len(serviceTimes) == 0 {
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -34,11 +34,12 @@
 		s.balancer.SetRejecting(s.Rejections.Rejecting(now))
 	}
 	pick, refusal := s.balancer.Choose(now, s.candidates(all), balancer.Call{
-		Route: q.route.Name, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Repeatable: q.route.Idempotent, Tried: tried,
+		Route: q.route.Name, Service: q.call.Service, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Remaining: q.deadline.Sub(now), Repeatable: q.route.Idempotent, Tried: tried,
 	})
 	if refusal == nil {
 		s.balancer.Sent(pick.Candidate.ID)
 	}
+	s.recordZones(q.call.Service, pick, refusal)
 	return pick, refusal
 }
 
@@ -70,7 +71,7 @@
 	c.QueueTimeoutMS = max(0, q.waitUntil.Sub(now)).Milliseconds()
 	if record.ID == s.Roster.Self().ID {
 		outcome := s.Inbound.Run(ctx, now, c, q.in)
-		s.recordAnswer(record.ID, q, s.Inbound.Load(c))
+		s.recordAnswer(record, q, s.Inbound.Load(c), 0)
 		return outcome
 	}
 	s.mu.Lock()
@@ -89,11 +90,12 @@
 		s.recordCancelled(id)
 		return call.Refused{Reason: failure.BadRequest}
 	}
+	began := clock.Now()
 	resp, err := s.pool(address).Do(ctx, &out, httpconn.Reuse{Retry: c.Idempotent})
 	if err == nil {
 		outcome, load, decodeErr := call.Decode(resp)
 		if decodeErr == nil {
-			s.recordAnswer(id, q, load)
+			s.recordAnswer(to, q, load, hop(clock.Now().Sub(began), load))
 			s.recordTarget(clock.Now(), to, outcome, load)
 			return outcome
 		}
@@ -113,14 +115,24 @@
 	return call.Lost{Reason: failure.Lost, Err: err}
 }
 
-func (s *Service) recordAnswer(id string, q *request, load call.Load) {
+func (s *Service) recordAnswer(from member.Record, q *request, load call.Load, hop time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.Answered(clock.Now(), id, balancer.Report{
-		Route: q.route.Name, Load: load.Load, Cutoff: load.Cutoff, ServiceTime: load.ServiceTime, Downstream: load.Downstream,
+	s.balancer.Answered(clock.Now(), from.ID, balancer.Report{
+		Route: q.route.Name, Load: load.Load, Cutoff: load.Cutoff, ServiceTime: load.ServiceTime, Pace: load.Pace, Downstream: load.Downstream,
+		Zone: from.Zone, Hop: hop.Seconds(),
 	})
 }
 
+// hop returns the time that a call and its result were on the way; 0 if the node did not say
+// how long it had the call.
+func hop(took time.Duration, load call.Load) time.Duration {
+	if load.Held <= 0 {
+		return 0
+	}
+	return max(0, took-time.Duration(load.Held*float64(time.Second)))
+}
+
 // Downstream returns the admission cutoffs that calls on a route to a service meet at
 // the nodes of that service and of the services it calls, as last reported here.
 func (s *Service) Downstream(now time.Time, service, route string) []balancer.Downstream {
