settings: the price of traffic between zones

zones.price and zones.inner, as fractions of the latency objective; defaults are the fixed penalties of before (0.2 and 0.5). 0 makes traffic free, 1 or more keeps calls in their zone while it has targets.

--- a/internal/config/settings/mesh.go
+++ b/internal/config/settings/mesh.go
@@ -17,6 +17,8 @@
 	defaultRetryRatio         = 0.2
 	defaultRetrySlack         = 20
 	defaultRetryWindowSeconds = 10
+	defaultZonePrice          = 0.2
+	defaultInnerZonePrice     = 0.5
 )
 
 // Seconds is a duration in seconds, with fractions.
@@ -34,6 +36,27 @@
 	Window Seconds `json:"window,omitempty"`
 }
 
+// ZonePrice is the price of traffic between availability zones, as a fraction of the latency
+// objective: how much of it a call must save to leave its zone. A price of 1 or more keeps all
+// calls in their zone while it has targets. Price is for callers' requests, Inner for calls
+// that targets make.
+type ZonePrice struct {
+	Price *float64 `json:"price,omitempty"`
+	Inner *float64 `json:"inner,omitempty"`
+}
+
+// Prices returns both prices, the defaults where none are set.
+func (z ZonePrice) Prices() (price, inner float64) {
+	price, inner = defaultZonePrice, defaultInnerZonePrice
+	if z.Price != nil {
+		price = *z.Price
+	}
+	if z.Inner != nil {
+		inner = *z.Inner
+	}
+	return price, inner
+}
+
 // Public holds the advertised addresses of a node, IP:port. They differ from the
 // listen addresses behind NAT or a port forwarder. The default is the listen
 // address.
@@ -73,6 +96,7 @@
 	// RevokeDelay is the maximum time that a revoked key may still be accepted.
 	RevokeDelay Seconds     `json:"revoke"`
 	Retries     RetryLimits `json:"extra,omitzero"`
+	Zones       ZonePrice   `json:"zones,omitzero"`
 	Level       string      `json:"level,omitempty"`
 }
 
@@ -138,6 +162,14 @@
 	if m.Grace < 0 || m.RevokeDelay < 0 || m.Memory < 0 || m.Files < 0 {
 		add("grace, revoke, memory, files", "must not be negative")
 	}
+	for _, f := range []struct {
+		name  string
+		value *float64
+	}{{"zones.price", m.Zones.Price}, {"zones.inner", m.Zones.Inner}} {
+		if f.value != nil && *f.value < 0 {
+			add(f.name, "must not be negative")
+		}
+	}
 	if m.Retries.Ratio < 0 || m.Retries.Slack < 0 || m.Retries.Window < 0 {
 		add("extra", "ratio, slack and window must not be negative")
 	}
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -56,3 +56,29 @@
 	_, err = settings.Load(path)
 	is.True(err != nil && strings.Contains(err.Error(), "fewer than 16 bytes"))
 }
+
+// A price of traffic between zones of 0 means that it is free, and none the default.
+func TestZonePrice(t *testing.T) {
+	for text, want := range map[string][2]float64{
+		`{}`:                                    {0.2, 0.5},
+		`{"zones": {"price": 0}}`:               {0, 0.5},
+		`{"zones": {"price": 0.1, "inner": 1}}`: {0.1, 1},
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			var m settings.Mesh
+			is.NoErr(settings.Decode([]byte(text), &m))
+			price, inner := m.Defaults().Zones.Prices()
+			is.Equal([2]float64{price, inner}, want)
+		})
+	}
+}
+
+// A negative price is a clear error.
+func TestNegativeZonePrice(t *testing.T) {
+	is := is.New(t)
+	var m settings.Mesh
+	is.NoErr(settings.Decode([]byte(`{"zones": {"inner": -1}}`), &m))
+	err := m.Defaults().Validate()
+	is.True(err != nil && strings.Contains(err.Error(), "zones.inner"))
+}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -26,6 +26,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/retrybudget"
+	"chestnutshed.example/chestnutshed/internal/policy/spill"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"chestnutshed.example/chestnutshed/internal/traffic/inbound"
@@ -196,9 +197,11 @@
 func (n *Node) logger(service string) *logrus.Entry { return n.log.WithField("component", service) }
 
 func (n *Node) relaySettings(s settings.Mesh) relay.Settings {
+	price, inner := s.Zones.Prices()
 	return relay.Settings{
 		MaxKeyAge: s.RevokeDelay.Duration() - keyMargin,
 		Service:   s.Service,
+		ZonePrice: spill.Price{Root: price, Inner: inner},
 	}
 }
 
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -25,6 +25,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/rank"
+	"chestnutshed.example/chestnutshed/internal/policy/spill"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"chestnutshed.example/chestnutshed/internal/traffic/inbound"
@@ -88,6 +89,8 @@
 	// Service of the target on this VM, recorded as the source of calls that enter
 	// at this node.
 	Service string
+	// ZonePrice is the price of traffic between availability zones.
+	ZonePrice spill.Price
 }
 
 // Deps are the services that the relay depends on.
@@ -144,12 +147,18 @@
 		duration: p.Metrics.NewHistogram("request_seconds"),
 	}
 	s.settings.Store(&t)
+	s.balancer.SetPrice(t.ZonePrice)
 	s.aborted, s.abort = context.WithCancel(context.Background())
 	return s
 }
 
 // UpdateSettings replaces the settings.
-func (s *Service) UpdateSettings(t Settings) { s.settings.Store(&t) }
+func (s *Service) UpdateSettings(t Settings) {
+	s.settings.Store(&t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.SetPrice(t.ZonePrice)
+}
 
 // Handle implements httpconn.Handler.
 func (s *Service) Handle(ctx context.Context, in *httpconn.Request) *httpconn.Response {
