knee: a target that slows near full is kept under its knee

Targets of one service take 1.3 times as long above 0.95 of their slots, which costs more work than leaving those slots free. The node beside the target compares the service times of calls that make no calls of their own by how full the target was, relative to their route's time with room, and leaves slots free while that gains 8 % of work; all slots are tried again every 20 s. Not measured on a deployment yet.

--- a/internal/policy/overload/overload.go
+++ b/internal/policy/overload/overload.go
@@ -129,6 +129,12 @@
 	}
 }
 
+// MakesCalls reports whether calls of a route are known to make calls of their own.
+func (c *Controller) MakesCalls(route string) bool {
+	p, ok := c.parents[route]
+	return ok && len(p.children) > 0
+}
+
 // Cutoff is the cutoff of this node, without downstream services.
 func (c *Controller) Cutoff() priority.Cutoff { return c.admission.Cutoff() }
 
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -22,6 +23,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
 	"chestnutshed.example/chestnutshed/internal/policy/cutoff"
+	"chestnutshed.example/chestnutshed/internal/policy/knee"
 	"chestnutshed.example/chestnutshed/internal/policy/latency"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/overload"
@@ -100,6 +102,10 @@
 	runningCalls      *correlation.Tracker
 	rate              namedRate
 	pace              targetPace
+	// knee finds the number of concurrent calls above which the target does less work.
+	// bound is the fraction of the slots that is used because of it.
+	knee  *knee.Finder
+	bound float64
 	// ejectedUntil is until when the target gets no calls, since its port refused
 	// connections.
 	ejectedUntil time.Time
@@ -166,7 +172,7 @@
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
 		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), rationing: rationing.New(), rejections: o.Rejections, targetCount: o.TargetCount, downstream: o.Downstream,
-		startedAt: clock.Now(), backlogged: o.Backlogged, synced: o.Synced, hasLeft: o.HasLeft, departures: o.Departures, health: newHealthCheck(o.Address, o.HealthPath), target: lifecycle.AwaitingHistory(),
+		knee: knee.New(), bound: 1, startedAt: clock.Now(), backlogged: o.Backlogged, synced: o.Synced, hasLeft: o.HasLeft, departures: o.Departures, health: newHealthCheck(o.Address, o.HealthPath), target: lifecycle.AwaitingHistory(),
 		overload: overload.New(admission.Sidecar()), waiting: map[uint64]chan decision{}, serviceTimes: latency.New(clock.Now()),
 		runningCalls: correlation.New(clock.Now()), crashes: newCrashDetector(o.Address),
 		quarantine: o.Quarantine, suspectSlot: make(chan struct{}, 1),
@@ -267,6 +273,7 @@
 			s.overload.SetRate(now, ratelimit.Limit{})
 			s.rate = namedRate{}
 			s.pace = targetPace{}
+			s.knee, s.bound = knee.New(), 1
 			s.ejectedUntil = time.Time{}
 			s.serviceTimes.Reset()
 		}
@@ -284,12 +291,13 @@
 	return true
 }
 
-// slots returns the number of usable slots: none once the node drains.
+// slots returns the number of usable slots: none once the node drains, and fewer than the
+// target announced if it slows near full.
 func (s *Service) slots() int {
 	if s.draining {
 		return 0
 	}
-	return s.target.Slots()
+	return int(math.Ceil(float64(s.target.Slots()) * s.bound))
 }
 
 // Target returns the last known state of the target.
@@ -581,6 +589,7 @@
 	k.Every(cutoff.Tick, func(context.Context) {
 		now := clock.Now()
 		s.mu.Lock()
+		s.applyKnee(now)
 		s.notifyWaiting(s.overload.Tick(now))
 		s.mu.Unlock()
 		s.updateRationing(now)
@@ -624,5 +633,6 @@
 		Overload overload.State         `json:"intake"`
 		Dials    uint64                 `json:"connections"`
 		Pace     float64                `json:"pace"`
-	}{s.target.Last, s.target.State.String(), s.overload.State(), s.pool.Dials(), s.pace.Mean()}
+		Bound    float64                `json:"bound"`
+	}{s.target.Last, s.target.State.String(), s.overload.State(), s.pool.Dials(), s.pace.Mean(), s.bound}
 }
--- a/internal/traffic/inbound/pace.go
+++ b/internal/traffic/inbound/pace.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"math"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/policy/pace"
@@ -33,3 +34,28 @@
 		}
 	}
 }
+
+// recordKnee records a call that has ended for the search of the target's knee. Occupied is
+// the number of calls that ran when it began.
+func (s *Service) recordKnee(now, began time.Time, c call.Call, occupied float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slots := float64(s.target.Slots())
+	if slots < 1 || s.overload.MakesCalls(c.Route) || !s.target.Is(c.Instance, c.Born) {
+		return
+	}
+	occupancy := math.Min(1, (occupied+s.running)/2/slots)
+	s.knee.Record(c.Route, occupancy, time.Duration(float64(now.Sub(began))/s.pace.At(now)))
+}
+
+// applyKnee changes the number of usable slots to what the target does most work with. The
+// caller holds mu.
+func (s *Service) applyKnee(now time.Time) {
+	bound := s.knee.Bound(now)
+	if bound == s.bound {
+		return
+	}
+	s.bound = bound
+	s.notifyWaiting(s.overload.SetSlots(now, s.slots()))
+	s.log.WithFields(logrus.Fields{"target": s.target.Last.ID, "bound": bound, "slots": s.slots()}).Info("usable slots of the target changed")
+}
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -41,11 +42,14 @@
 		reuse.MaxIdleTime = nonIdempotentIdle
 	}
 	s.sends.Inc()
-	s.recordStart(began, id, c, deadline)
+	occupied := s.recordStart(began, id, c, deadline)
 	reuse.OnSend = func() { s.crashes.start(clock.Now(), id, f) }
 	resp, err := s.pool.Do(ctx, &out, reuse)
 	now := clock.Now()
 	s.recordEnd(began, now, id, c, resp != nil || ctx.Err() != nil)
+	if resp != nil && resp.Status < http.StatusMultipleChoices {
+		s.recordKnee(now, began, c, occupied)
+	}
 	lost := err != nil && ctx.Err() == nil && !errors.Is(err, httpconn.ErrNotSent)
 	s.crashes.end(now, id, lost)
 	if lost {
@@ -165,8 +169,8 @@
 	}
 }
 
-// recordStart adds a call to the running ones.
-func (s *Service) recordStart(now time.Time, id uint64, c call.Call, deadline time.Time) {
+// recordStart adds a call to the running ones and returns their number.
+func (s *Service) recordStart(now time.Time, id uint64, c call.Call, deadline time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !c.Retry {
@@ -178,6 +182,7 @@
 	s.retrySum += c.RetryFraction
 	s.serviceTimes.Start(now, c.Route)
 	s.runningCalls.Start(now, id, correlation.Call{ID: c.ID, Route: c.Route, Root: rootScore(c), RootCertain: c.RootCertain || c.Depth <= 1, Deadline: deadline})
+	return s.running
 }
 
 // rootScore returns the score of the caller's request that a call belongs to.
