balancer: retries change no plan of a zone

A retry may name only the targets that are left, or the one that rejected the call, and a plan made from these takes the rest of the zone for gone.

--- a/internal/policy/balancer/balancer.go
+++ b/internal/policy/balancer/balancer.go
@@ -209,6 +209,9 @@
 	Remaining time.Duration
 	// Repeatable is set if the request may run more than once.
 	Repeatable bool
+	// Retry is set if the call was sent before. Its candidates may be only some of the
+	// service's, and say nothing about its zones.
+	Retry bool
 	// Tried are the IDs of candidates that must not be picked again.
 	Tried []string
 }
--- a/internal/policy/balancer/zone.go
+++ b/internal/policy/balancer/zone.go
@@ -105,6 +105,9 @@
 		p = &zonePlan{budget: call.budget()}
 		b.plans[key] = p
 	}
+	if call.Retry {
+		return p
+	}
 	p.budget += (call.budget() - p.budget) * budgetWeight
 	if !p.Due(now) {
 		return p
@@ -168,7 +171,7 @@
 // probe returns a zone to send a call to, to learn the service times there. It does so only
 // where a much faster target would be worth the price of leaving.
 func (b *Balancer) probe(now time.Time, p *zonePlan, usable []Candidate, call Call) (string, bool) {
-	if now.Sub(p.probedAt) < probeInterval || len(p.Shares) > 0 {
+	if now.Sub(p.probedAt) < probeInterval || len(p.Shares) > 0 || call.Retry {
 		return "", false
 	}
 	p.probedAt = now
--- a/internal/policy/balancer/zone_test.go
+++ b/internal/policy/balancer/zone_test.go
@@ -160,3 +160,18 @@
 	is.Equal(changes[0].Reason, spill.Full)
 	is.Equal(len(b.PlanChanges()), 0)
 }
+
+// A retry names only the targets that are left. What they report says nothing about the zone.
+func TestRetryChangesNoPlan(t *testing.T) {
+	is := is.New(t)
+	b, all := newBalancer(), twoZones()
+	for _, k := range all {
+		b.Answered(start, k.ID, balancer.Report{Route: "r", Load: 0.2, Cutoff: priority.AdmitAll, ServiceTime: 0.1})
+	}
+	b.Answered(start, "here-1", balancer.Report{Route: "r", Load: 1.5, Cutoff: priority.AdmitAll, ServiceTime: 0.1})
+	retry := call()
+	retry.Retry, retry.Tried = true, []string{"here-2"}
+	_, refusal := b.Choose(start, all, retry)
+	is.True(refusal == nil)
+	is.Equal(b.PlanFraction("", "r"), 0.0)
+}
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -34,7 +34,7 @@
 		s.balancer.SetRejecting(s.Rejections.Rejecting(now))
 	}
 	pick, refusal := s.balancer.Choose(now, s.candidates(all), balancer.Call{
-		Route: q.route.Name, Service: q.call.Service, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Remaining: q.deadline.Sub(now), Repeatable: q.route.Idempotent, Tried: tried,
+		Route: q.route.Name, Service: q.call.Service, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Remaining: q.deadline.Sub(now), Repeatable: q.route.Idempotent, Retry: len(q.tried) > 0, Tried: tried,
 	})
 	if refusal == nil {
 		s.balancer.Sent(pick.Candidate.ID)
