relay: a chain meets the cutoffs of the zone that its calls go to

By reading: nodes now hear of targets in all zones, the cutoff passed on was the most lenient of all, while most calls stay in a zone that is full. The cutoffs passed on are those of the own zone unless most calls leave. Slow targets also cost more: curtailment has 1 s in all, and its calls took 0.7 s in place of 0.5 s on average.

--- a/internal/policy/balancer/place.go
+++ b/internal/policy/balancer/place.go
@@ -15,8 +15,8 @@
 	// freeTime is the time that a candidate may be slower than the fastest at no cost, as a
 	// fraction of the time that the call has. slowCost is the cost of all of that time, in
 	// units of load.
-	freeTime = 0.1
-	slowCost = 3.0
+	freeTime = 0.05
+	slowCost = 2.5
 )
 
 // sampled is a candidate that is compared with others.
--- a/internal/policy/balancer/zone.go
+++ b/internal/policy/balancer/zone.go
@@ -22,6 +22,8 @@
 	// probeInterval is the time between two calls that are sent to another zone to learn
 	// whether targets there are faster.
 	probeInterval = 5 * time.Second
+	// mostLeave is the fraction above which most calls of a route leave the zone.
+	mostLeave = 0.5
 	// loggedChange is the least change of a fraction that is reported.
 	loggedChange = 0.1
 )
@@ -86,6 +88,18 @@
 	return admitting, spill.Absent
 }
 
+// Met returns the candidates that calls of a route mostly go to: those of the own zone, unless
+// most calls leave it. The cutoffs of the others say little about what calls meet.
+func (b *Balancer) Met(all []Candidate, service, route string) []Candidate {
+	if b.PlanFraction(service, route) > mostLeave {
+		return all
+	}
+	if own := b.ofZone(all, b.zone); len(own) > 0 {
+		return own
+	}
+	return all
+}
+
 // ofZone returns the candidates of a zone. The result is valid until the next call.
 func (b *Balancer) ofZone(all []Candidate, zone string) []Candidate {
 	b.zoned = b.zoned[:0]
--- a/internal/policy/balancer/zone_test.go
+++ b/internal/policy/balancer/zone_test.go
@@ -175,3 +175,20 @@
 	is.True(refusal == nil)
 	is.Equal(b.PlanFraction("", "r"), 0.0)
 }
+
+// The own zone is full and so is its cutoff, while a target elsewhere has just told that it
+// admits everything. What calls meet is the own cutoff, as long as most of them stay.
+func TestCutoffOfOwnZoneIsMet(t *testing.T) {
+	is := is.New(t)
+	b, all := newBalancer(), twoZones()
+	closed := priority.Cutoff(call().Score)
+	for _, k := range all {
+		r := balancer.Report{Route: "r", Load: 1.2, Cutoff: closed, ServiceTime: 0.1}
+		if k.ID == "there-1" {
+			r.Cutoff = priority.AdmitAll
+		}
+		b.Answered(start, k.ID, r)
+	}
+	is.Equal(b.Downstream(start, b.Met(all, "s", "r"), "s", "r")[0].Cutoff, closed)
+	is.Equal(len(b.Met(all[2:], "s", "r")), 2) // no target in the own zone
+}
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -139,7 +139,7 @@
 	all := s.Roster.Serving(now, service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.balancer.Downstream(now, s.candidates(all), service, route)
+	return s.balancer.Downstream(now, s.balancer.Met(s.candidates(all), service, route), service, route)
 }
 
 func (s *Service) recordCancelled(id string) {
