--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -29,6 +29,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/coldstart"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/retrybudget"
+	"chestnutshed.example/chestnutshed/internal/policy/spill"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"chestnutshed.example/chestnutshed/internal/traffic/inbound"
@@ -223,9 +224,11 @@
 func (n *Node) logger(service string) *logrus.Entry { return n.log.WithField("component", service) }
 
 func (n *Node) relaySettings(s settings.Mesh) relay.Settings {
+	price, inner := s.Zones.Prices()
 	return relay.Settings{
 		MaxKeyAge: s.RevokeDelay.Duration() - keyMargin,
 		Service:   s.Service,
+		ZonePrice: spill.Price{Root: price, Inner: inner},
 	}
 }
 
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -24,6 +25,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/coldstart"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
 	"chestnutshed.example/chestnutshed/internal/policy/cutoff"
+	"chestnutshed.example/chestnutshed/internal/policy/knee"
 	"chestnutshed.example/chestnutshed/internal/policy/latency"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/overload"
@@ -103,6 +105,11 @@
 	serviceTimes      *latency.Estimator
 	runningCalls      *correlation.Tracker
 	rate              namedRate
+	pace              targetPace
+	// knee finds the number of concurrent calls above which the target does less work.
+	// bound is the fraction of the slots that is used because of it.
+	knee  *knee.Finder
+	bound float64
 	// ejectedUntil is until when the target gets no calls, since its port refused
 	// connections.
 	ejectedUntil time.Time
@@ -180,7 +187,7 @@
 	s := &Service{
 		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), rationing: rationing.New(), rejections: o.Rejections, targetCount: o.TargetCount, downstream: o.Downstream,
 		ownZone: o.OwnZone, coldBound: o.ColdBound, zone: o.OwnZone(clock.Now()),
-		startedAt: clock.Now(), backlogged: o.Backlogged, synced: o.Synced, hasLeft: o.HasLeft, departures: o.Departures, health: newHealthCheck(o.Address, o.HealthPath), target: lifecycle.AwaitingHistory(),
+		knee: knee.New(), bound: 1, startedAt: clock.Now(), backlogged: o.Backlogged, synced: o.Synced, hasLeft: o.HasLeft, departures: o.Departures, health: newHealthCheck(o.Address, o.HealthPath), target: lifecycle.AwaitingHistory(),
 		overload: overload.New(admission.Sidecar()), waiting: map[uint64]chan decision{}, serviceTimes: latency.New(clock.Now()),
 		runningCalls: correlation.New(clock.Now()), crashes: newCrashDetector(o.Address),
 		quarantine: o.Quarantine, suspectSlot: make(chan struct{}, 1),
@@ -210,6 +217,11 @@
 		}
 		return 0
 	})
+	set.NewGauge("target_pace", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.pace.At(clock.Now())
+	})
 	set.NewGauge("target_resends_total", func() float64 { return float64(s.pool.Resends()) })
 	return s
 }
@@ -284,6 +296,8 @@
 			s.overload.ResetHealth()
 			s.overload.SetRate(now, ratelimit.Limit{})
 			s.rate = namedRate{}
+			s.pace = targetPace{}
+			s.knee, s.bound = knee.New(), 1
 			s.ejectedUntil = time.Time{}
 			s.serviceTimes.Reset()
 		}
@@ -302,12 +316,12 @@
 }
 
 // slots returns the number of usable slots: none once the node drains or unless its
-// availability zone is open.
+// availability zone is open, and fewer than the target announced if it slows near full.
 func (s *Service) slots() int {
 	if s.draining || s.zone != evacuation.Open {
 		return 0
 	}
-	return s.target.Slots()
+	return int(math.Ceil(float64(s.target.Slots()) * s.bound))
 }
 
 // Target returns the last known state of the target.
@@ -343,11 +357,15 @@
 	if s.target.State != lifecycle.Ready || s.draining || s.zone != evacuation.Open || now.Before(s.ejectedUntil) {
 		cut = priority.AdmitNone
 	}
-	return call.Load{
-		Load: s.overload.Load(now), Cutoff: cut, TargetRate: s.overload.Rate().Named(),
-		TargetLeft: s.target.HasLeft() && s.target.Is(c.Instance, c.Born), ServiceTime: s.serviceTimes.Estimate(now, c.Route),
+	load := call.Load{
+		Load: s.overload.Load(now) * s.pace.At(now), Cutoff: cut, TargetRate: s.overload.Rate().Named(),
+		TargetLeft: s.target.HasLeft() && s.target.Is(c.Instance, c.Born), ServiceTime: s.serviceTimes.Estimate(now, c.Route) / s.pace.Mean(),
 		Downstream: s.overload.Downstream(now, c.Route, s.downstreamAt(now)),
 	}
+	if s.pace.Known() {
+		load.Pace = s.pace.At(now)
+	}
+	return load
 }
 
 // downstreamAt returns a function that looks up what calls made by the target meet.
@@ -580,7 +598,9 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	resp, err := call.Encode(outcome, s.Load(c))
+	load := s.Load(c)
+	load.Held = clock.Now().Sub(r.Received).Seconds()
+	resp, err := call.Encode(outcome, load)
 	if err != nil {
 		s.log.WithError(err).Error("could not encode an outcome for a peer")
 		return nil
@@ -596,6 +616,7 @@
 	k.Every(cutoff.Tick, func(context.Context) {
 		now := clock.Now()
 		s.mu.Lock()
+		s.applyKnee(now)
 		s.notifyWaiting(s.overload.Tick(now))
 		s.mu.Unlock()
 		s.updateRationing(now)
@@ -641,7 +662,9 @@
 		Dials    uint64                 `json:"connections"`
 		// Cold is set while the requests are bounded because the target is cold or was
 		// until lately. Zone is the state of its availability zone.
-		Cold bool   `json:"cold"`
-		Zone string `json:"zone"`
-	}{s.target.Last, s.target.State.String(), s.overload.State(), s.pool.Dials(), s.overload.Cold().Active(clock.Now()), s.zone.String()}
+		Cold  bool    `json:"cold"`
+		Zone  string  `json:"zone"`
+		Pace  float64 `json:"pace"`
+		Bound float64 `json:"bound"`
+	}{s.target.Last, s.target.State.String(), s.overload.State(), s.pool.Dials(), s.overload.Cold().Active(clock.Now()), s.zone.String(), s.pace.Mean(), s.bound}
 }
