era: write again what a store lost that came back from an older copy

Cause: nothing read the header Store-Era. A store that comes back from a copy some seconds old has lost acknowledged writes and gives their revisions out again. A watch of the configuration from such a revision missed the changes before it, and its answer still confirmed the old version. Registrations of nodes and acknowledged leaves were gone; after a kill of all nodes a late heartbeat made a target ready that had left.

fleet/era keeps the latest era that a process knows, from the store's answers and from peers: probes and their answers carry it as a number. A rise makes each node register again and write the leaves of its target again, over 0.5 s in fleets up to 200 nodes and at 400 nodes a second in larger ones. An acknowledgement of an earlier era does not count. confsync compares the eras of its own answers and reads the configuration in full when they differ. Lists whose pages are of two eras are read again.

Ruled out: no write of the mesh is conditioned on a revision, and the rates' holder is elected among the nodes, so neither can have two owners after a drill.

Tests that fail without the comparison of eras: TestChangeBeforeReusedRevision; without writing again: TestRegistrationsWrittenAgain, TestLeaveSurvivesOlderCopyAndRestartOfAll. TestDirectory also covers a repeated registration by one process; its restart is one of a new client now, and all former steps remain.

--- a/cmd/chestnutshed/mesh.go
+++ b/cmd/chestnutshed/mesh.go
@@ -13,6 +13,7 @@
 
 	"chestnutshed.example/chestnutshed/internal/config/settings"
 	"chestnutshed.example/chestnutshed/internal/core/logline"
+	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"chestnutshed.example/chestnutshed/internal/mesh/node"
 	"chestnutshed.example/chestnutshed/internal/traffic/inbound"
 	"chestnutshed.example/chestnutshed/platform"
@@ -52,9 +53,10 @@
 		<-lines.Done()
 	}()
 	log := lines.Logger(severity)
-	store := platform.NewStore(s.Store)
+	eras := era.New(log.WithField("node", s.Node))
+	store := platform.NewStore(s.Store).WithEras(eras)
 	n, err := node.New(s, node.Adapter{
-		Dialect: platform.Dialect{}, Source: store, Directory: store, Leaves: store.Leaves(), Ready: platform.Ready,
+		Dialect: platform.Dialect{}, Source: store, Directory: store, Leaves: store.Leaves(), Eras: eras, Ready: platform.Ready,
 		Announcements: func(sink *inbound.Service, address string, now func() time.Time, log *logrus.Entry) http.Handler {
 			return platform.Announcements(sink, address, now, log)
 		},
--- a/internal/config/confsync/confsync.go
+++ b/internal/config/confsync/confsync.go
@@ -23,6 +23,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/core/ring"
+	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"github.com/sirupsen/logrus"
 )
 
@@ -72,6 +73,8 @@
 type Snapshot struct {
 	Text     []byte
 	Revision uint64
+	// Era is the era of the store that the revision belongs to.
+	Era era.Era
 }
 
 // Source is the store that holds the configuration.
@@ -120,6 +123,7 @@
 	mu        sync.Mutex
 	fleet     Fleet
 	revision  uint64
+	era       era.Era // of revision
 	storeLost bool
 	backoff   time.Duration
 	retryAt   time.Time
@@ -281,7 +285,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.ageFraction(watchFraction)+callTimeout)
 	defer cancel()
 	s.mu.Lock()
-	since := s.revision
+	since, sinceEra := s.revision, s.era
 	s.mu.Unlock()
 	s.calls.Add(1)
 	sent := clock.Now()
@@ -294,13 +298,19 @@
 	}
 	if err != nil {
 		if errors.Is(err, ErrCompacted) {
-			s.setRevision(0)
+			s.setRevision(0, era.Era{})
 			s.log.WithField("revision", since).Warn("store has compacted the revision; reading the full configuration")
 			return nil
 		}
 		return err
 	}
-	s.setRevision(snap.Revision)
+	if since != 0 && snap.Era.Differs(sinceEra) {
+		// The revision was given out again, so changes before it may be missing.
+		s.setRevision(0, era.Era{})
+		s.log.WithFields(logrus.Fields{"revision": since, "era": snap.Era.String(), "was": sinceEra.String()}).Warn("store came back from an older copy; reading the full configuration")
+		return nil
+	}
+	s.setRevision(snap.Revision, snap.Era)
 	if len(snap.Text) == 0 {
 		s.confirm(sent)
 		return nil
@@ -312,9 +322,9 @@
 	return nil
 }
 
-func (s *Service) setRevision(r uint64) {
+func (s *Service) setRevision(r uint64, e era.Era) {
 	s.mu.Lock()
-	s.revision = r
+	s.revision, s.era = r, e
 	s.mu.Unlock()
 }
 
--- a/internal/fleet/departure/departure.go
+++ b/internal/fleet/departure/departure.go
@@ -8,11 +8,14 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"github.com/goccy/go-json"
 	"github.com/sirupsen/logrus"
@@ -36,8 +39,9 @@
 
 // Store holds the leaves of all nodes.
 type Store interface {
-	// Add writes an entry. If the name exists already, it does nothing.
-	Add(ctx context.Context, name string, value []byte) error
+	// Add writes an entry. If the name exists already, it does nothing. It returns the
+	// era in which that was acknowledged.
+	Add(ctx context.Context, name string, value []byte) (era.Era, error)
 	// List returns all entries by name.
 	List(ctx context.Context) (map[string][]byte, error)
 	// Remove removes an entry. A missing one is not an error.
@@ -71,30 +75,54 @@
 	return e.Node + "." + strconv.FormatUint(h.Sum64(), 36)
 }
 
+// Fleet is what the service needs to know of the other nodes.
+type Fleet interface {
+	// IsFirst reports whether this node removes the leaves of all nodes after their
+	// retention.
+	IsFirst() bool
+	// Size returns the number of nodes.
+	Size() int
+}
+
+// record is a leave that this process has written, is writing or has read.
+type record struct {
+	entry entry
+	// done is closed once the leave is in the store, and era is the one in which the store
+	// acknowledged that.
+	done chan struct{}
+	era  era.Era
+}
+
+// written reports whether the leave is in the store, as far as is known.
+func (r *record) written() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Service keeps the leaves of one node's target.
 type Service struct {
 	node  string
 	store Store
+	fleet Fleet
+	eras  *era.Tracker
 	log   *logrus.Entry
-	// sweeps reports whether this node removes the leaves of all nodes after their
-	// retention.
-	sweeps func() bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu sync.Mutex
-	// kept has a channel for each leave, by name, that is closed once the leave is in the
-	// store.
-	kept   map[string]chan struct{}
+	mu     sync.Mutex
+	kept   map[string]*record // by name
 	loaded bool
 	left   []lifecycle.Leave
 }
 
-// New returns the service of a node. Sweeps reports whether the node is the one that
-// removes old leaves.
-func New(node string, store Store, sweeps func() bool, log *logrus.Entry) *Service {
-	s := &Service{node: node, store: store, sweeps: sweeps, log: log, kept: map[string]chan struct{}{}}
+// New returns the service of a node. Eras tracks the era of the store.
+func New(node string, store Store, fleet Fleet, eras *era.Tracker, log *logrus.Entry) *Service {
+	s := &Service{node: node, store: store, fleet: fleet, eras: eras, log: log, kept: map[string]*record{}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -109,18 +137,12 @@
 	if l.Born == 0 {
 		e.Until = l.ReceivedAt.UnixMilli()
 	}
-	name := e.name()
 	s.mu.Lock()
-	done, ok := s.kept[name]
-	if !ok {
-		if s.countPending() >= maxPending {
-			s.mu.Unlock()
-			return fmt.Errorf("%w: %d others wait for the store", ErrNotKept, maxPending)
-		}
-		done = make(chan struct{})
-		s.kept[name] = done
-		go s.write(name, e, done)
+	if s.kept[e.name()] == nil && s.countPending() >= maxPending {
+		s.mu.Unlock()
+		return fmt.Errorf("%w: %d others wait for the store", ErrNotKept, maxPending)
 	}
+	done := s.ensure(e)
 	s.mu.Unlock()
 	select {
 	case <-done:
@@ -130,22 +152,57 @@
 	}
 }
 
+// ensure writes a leave unless it is in the store, or is being written. It returns a channel
+// that is closed once it is there. The mutex is held.
+func (s *Service) ensure(e entry) <-chan struct{} {
+	r, ok := s.kept[e.name()]
+	if ok && (!r.written() || s.eras.Check(r.era) == nil) {
+		return r.done
+	}
+	r = &record{entry: e, done: make(chan struct{})}
+	if ok {
+		r.entry = s.kept[e.name()].entry
+	}
+	s.kept[e.name()] = r
+	go s.write(r)
+	return r.done
+}
+
+// renew writes the leaves again that the store acknowledged in an earlier era.
+func (s *Service) renew(ctx context.Context, now time.Time) error {
+	s.mu.Lock()
+	records := slices.Collect(maps.Values(s.kept))
+	s.mu.Unlock()
+	for _, r := range records {
+		if now.Sub(time.UnixMilli(r.entry.At)) > retention {
+			continue
+		}
+		s.mu.Lock()
+		done := s.ensure(r.entry)
+		s.mu.Unlock()
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", ErrNotKept, ctx.Err())
+		}
+	}
+	return nil
+}
+
 // countPending returns the number of leaves that are being written. The mutex is held.
 func (s *Service) countPending() int {
 	n := 0
-	for _, done := range s.kept {
-		select {
-		case <-done:
-		default:
+	for _, r := range s.kept {
+		if !r.written() {
 			n++
 		}
 	}
 	return n
 }
 
-// write writes an entry until that succeeds, and then closes done, or until the service
-// stops.
-func (s *Service) write(name string, e entry, done chan<- struct{}) {
+// write writes a leave until that succeeds in the current era, or until the service stops.
+func (s *Service) write(r *record) {
+	e := r.entry
 	value, err := json.Marshal(e)
 	if err != nil {
 		s.log.WithError(err).Error("encoding a leave failed")
@@ -153,11 +210,21 @@
 	}
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
-		err := s.store.Add(ctx, name, value)
+		before := s.eras.Current()
+		acknowledged, err := s.store.Add(ctx, e.name(), value)
 		cancel()
+		if acknowledged == (era.Era{}) {
+			acknowledged = before
+		}
+		if err == nil {
+			err = s.eras.Check(acknowledged)
+		}
 		if err == nil {
 			s.log.WithFields(logrus.Fields{"target": e.Instance, "born": e.Born, "until": e.Until}).Info("leave kept")
-			close(done)
+			s.mu.Lock()
+			r.era = acknowledged
+			close(r.done)
+			s.mu.Unlock()
 			return
 		}
 		s.log.WithError(err).WithField("target", e.Instance).Warn("leave not kept yet")
@@ -176,12 +243,22 @@
 // load reads the leaves of this node until that succeeds.
 func (s *Service) load(ctx context.Context) error {
 	for ctx.Err() == nil {
+		read := s.eras.Current()
 		entries, err := s.list(ctx)
+		if read == (era.Era{}) {
+			read = s.eras.Current()
+		}
 		if err == nil {
 			s.mu.Lock()
-			for _, e := range entries {
-				if e.Node == s.node {
-					s.left = append(s.left, e.leave())
+			for name, e := range entries {
+				if e.Node != s.node {
+					continue
+				}
+				s.left = append(s.left, e.leave())
+				if s.kept[name] == nil {
+					r := &record{entry: e, done: make(chan struct{}), era: read}
+					close(r.done)
+					s.kept[name] = r
 				}
 			}
 			s.loaded = true
@@ -216,7 +293,7 @@
 
 // sweep removes the leaves of all nodes whose retention is over.
 func (s *Service) sweep(ctx context.Context, now time.Time) {
-	if !s.sweeps() {
+	if !s.fleet.IsFirst() {
 		return
 	}
 	entries, err := s.list(ctx)
@@ -240,6 +317,9 @@
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
 	k.Go(s.load)
+	k.Go(func(ctx context.Context) error {
+		return s.eras.Follow(ctx, s.fleet.Size, func(ctx context.Context) error { return s.renew(ctx, time.Now()) })
+	})
 	k.Every(sweepInterval, func(ctx context.Context) { s.sweep(ctx, time.Now()) })
 	return nil
 }
--- a/internal/fleet/roster/exchange.go
+++ b/internal/fleet/roster/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
+	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"github.com/goccy/go-json"
 )
@@ -136,6 +137,9 @@
 // piggybacked data of the topics.
 func (s *Service) digestPacket(now time.Time) packet {
 	p := s.newPacket(now)
+	if number, ok := s.eras.Current().Number(); ok {
+		p.Era = &number
+	}
 	s.mu.Lock()
 	p.Digest = s.table.Digest()
 	s.mu.Unlock()
@@ -196,6 +200,9 @@
 		t.Message(now, p.From, p.Body)
 	}
 	s.observeVersion(p)
+	if p.Era != nil {
+		s.eras.Observe(era.At(*p.Era), p.From)
+	}
 	answer := packet{}
 	if p.Sent != 0 {
 		answer = s.digestPacket(now)
--- a/internal/fleet/roster/join.go
+++ b/internal/fleet/roster/join.go
@@ -66,7 +66,11 @@
 	if err != nil {
 		return fmt.Errorf("encode record: %w", err)
 	}
-	if err := s.directory.Register(ctx, s.node, value); err != nil {
+	acknowledged, err := s.directory.Register(ctx, s.node, value)
+	if err == nil {
+		err = s.eras.Check(acknowledged)
+	}
+	if err != nil {
 		return fmt.Errorf("register node %s: %w", s.node, err)
 	}
 	return nil
--- a/internal/fleet/roster/packet.go
+++ b/internal/fleet/roster/packet.go
@@ -32,6 +32,8 @@
 	// time since it was confirmed to be the newest, in milliseconds.
 	Version uint64 `json:"cfg,omitempty"`
 	Age     int64  `json:"age,omitempty"`
+	// Era is that of the store, if the sender knows it.
+	Era *uint64 `json:"era,omitempty"`
 	// ConfigAddress is the IP:port where the text of the configuration can be
 	// read; empty for receivers that have the sender's record.
 	ConfigAddress string `json:"text,omitempty"`
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -29,6 +29,7 @@
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"chestnutshed.example/chestnutshed/internal/fleet/liveness"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"github.com/goccy/go-json"
@@ -74,8 +75,9 @@
 // Directory stores the addresses of nodes, so that a starting node finds its
 // peers.
 type Directory interface {
-	// Register writes the entry of a node, or replaces it.
-	Register(ctx context.Context, name string, value []byte) error
+	// Register writes the entry of a node, or replaces it. It returns the era in which
+	// that was acknowledged.
+	Register(ctx context.Context, name string, value []byte) (era.Era, error)
 	// List returns all entries, by the name of the node.
 	List(ctx context.Context) (map[string][]byte, error)
 	// Remove removes the entry of a node.
@@ -114,6 +116,8 @@
 	Listen string
 	// Self is the node's own record, without ID and start time.
 	Self member.Record
+	// Eras tracks the era of the directory's store. Peers are told the latest one.
+	Eras *era.Tracker
 }
 
 // Service maintains the membership of one node. It is safe for concurrent use.
@@ -123,6 +127,7 @@
 	config    Config
 	log       *logrus.Entry
 	conn      *net.UDPConn
+	eras      *era.Tracker
 	topics    map[string]Topic
 
 	mu       sync.Mutex
@@ -157,11 +162,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for datagrams: %w", err)
 	}
+	if o.Eras == nil {
+		o.Eras = era.New(log)
+	}
 	self := o.Self
 	self.ID = strings.ToLower(rand.Text()[:10])
 	self.Started = time.Now().UnixNano()
 	return &Service{
-		node: o.Node, directory: d, config: config, log: log, conn: conn, topics: map[string]Topic{},
+		node: o.Node, directory: d, config: config, log: log, conn: conn, eras: o.Eras, topics: map[string]Topic{},
 		table: member.New(now, self), detector: liveness.New(now), lastTick: now, started: now,
 		serving: map[string][]Serving{}, unmet: map[string]time.Time{},
 	}, nil
@@ -445,6 +453,12 @@
 	})
 }
 
+// Size returns the number of members that count for majorities, at least 1.
+func (s *Service) Size() int {
+	_, known := s.Running(clock.Now())
+	return max(known, 1)
+}
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
@@ -453,6 +467,7 @@
 	k.Go(s.receive)
 	k.Go(s.probeLoop)
 	k.Go(s.join)
+	k.Go(func(ctx context.Context) error { return s.eras.Follow(ctx, s.Size, s.register) })
 	return nil
 }
 
@@ -488,6 +503,7 @@
 		Sent     uint64          `json:"datagrams_sent"`
 		Bytes    uint64          `json:"bytes_sent"`
 		Received uint64          `json:"datagrams_received"`
+		Era      string          `json:"era"`
 		Members  []member.Record `json:"members"`
-	}{s.table.Self(), len(ids), known, s.sent.Load(), s.bytes.Load(), s.received.Load(), s.table.All()}
+	}{s.table.Self(), len(ids), known, s.sent.Load(), s.bytes.Load(), s.received.Load(), s.eras.Current().String(), s.table.All()}
 }
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -14,6 +14,7 @@
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/roster"
 	"github.com/matryer/is"
@@ -25,16 +26,24 @@
 	mu      sync.Mutex
 	entries map[string][]byte
 	down    bool
+	era     era.Era
 }
 
-func (d *directory) Register(_ context.Context, name string, value []byte) error {
+func (d *directory) Register(_ context.Context, name string, value []byte) (era.Era, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.down {
-		return io.ErrUnexpectedEOF
+		return era.Era{}, io.ErrUnexpectedEOF
 	}
 	d.entries[name] = value
-	return nil
+	return d.era, nil
+}
+
+// restore brings the directory back from a copy without entries.
+func (d *directory) restore(e era.Era) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries, d.era = map[string][]byte{}, e
 }
 
 func (d *directory) List(context.Context) (map[string][]byte, error) {
@@ -96,6 +105,7 @@
 type running struct {
 	*roster.Service
 	config *config
+	eras   *era.Tracker
 	stop   func()
 }
 
@@ -130,7 +140,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	n := &config{version: 1, age: time.Hour}
-	s, err := roster.New(clock.Now(), roster.Options{Node: name, Listen: at, Self: member.Record{
+	eras := era.New(logrus.NewEntry(log))
+	s, err := roster.New(clock.Now(), roster.Options{Node: name, Eras: eras, Listen: at, Self: member.Record{
 		Address: at, Datagrams: at, Zone: zone, Region: "r",
 	}}, d, n, logrus.NewEntry(log))
 	is.New(t).NoErr(err)
@@ -138,7 +149,7 @@
 	is.New(t).NoErr(k.Register(s))
 	is.New(t).NoErr(k.Start(context.Background()))
 	var once sync.Once
-	r := running{s, n, func() { once.Do(func() { _ = k.Stop(context.Background()) }) }}
+	r := running{s, n, eras, func() { once.Do(func() { _ = k.Stop(context.Background()) }) }}
 	t.Cleanup(r.stop)
 	return r
 }
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -18,6 +18,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/departure"
+	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/quota"
@@ -78,10 +79,13 @@
 
 // Adapter holds the parts that depend on the platform.
 type Adapter struct {
-	Dialect       call.Dialect
-	Source        confsync.Source
-	Directory     roster.Directory
-	Leaves        departure.Store
+	Dialect   call.Dialect
+	Source    confsync.Source
+	Directory roster.Directory
+	Leaves    departure.Store
+	// Eras tracks the era of the store, which its client tells. Nil is a store that never
+	// comes back from an older copy.
+	Eras          *era.Tracker
 	Announcements func(sink *inbound.Service, address string, now func() time.Time, log *logrus.Entry) http.Handler
 	Ready         func(ready func() bool) http.Handler
 }
@@ -116,12 +120,19 @@
 		debug.SetMemoryLimit(int64(float64(s.Memory<<20) * memoryFraction))
 	}
 	n.kernel.OnPanic = n.recordPanic
+	if adapter.Eras == nil {
+		adapter.Eras = era.New(n.log)
+	}
+	n.metricSet.NewGauge("store_era", func() float64 {
+		number, _ := adapter.Eras.Current().Number()
+		return float64(number)
+	})
 	now := clock.Now()
 	n.config = confsync.New(adapter.Source, s.RevokeDelay.Duration(), n.logger(confsync.Name))
 	var err error
 	n.roster, err = roster.New(now, roster.Options{Node: s.Node, Listen: s.Datagrams, Self: member.Record{
 		Address: s.Public.Peers, Operators: s.Operators, Datagrams: s.Public.Datagrams, Zone: s.Zone, Region: s.Region,
-	}}, adapter.Directory, n.config, n.logger(roster.Name))
+	}, Eras: adapter.Eras}, adapter.Directory, n.config, n.logger(roster.Name))
 	if err != nil {
 		return nil, fmt.Errorf("open roster: %w", err)
 	}
@@ -131,7 +142,7 @@
 	n.roster.AddTopic(quarantine.Name, n.quarantine)
 	n.rejections = rejection.New(clock.Now, n.logger(rejection.Name))
 	n.roster.AddTopic(rejection.Name, n.rejections)
-	n.departures = departure.New(s.Node, adapter.Leaves, n.roster.IsFirst, n.logger(departure.Name))
+	n.departures = departure.New(s.Node, adapter.Leaves, n.roster, adapter.Eras, n.logger(departure.Name))
 	answers := httpconn.NewBudget(responseBudget(s))
 	n.inbound = inbound.New(inbound.Options{
 		Address: s.Target, ResponseBudget: answers, Retries: retrybudget.Limits{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration()}, OnChange: n.publishTarget,
