--- a/internal/fleet/evacuation/evacuation.go
+++ b/internal/fleet/evacuation/evacuation.go
@@ -19,6 +19,7 @@
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"github.com/goccy/go-json"
 	"github.com/sirupsen/logrus"
 )
@@ -144,6 +145,7 @@
 	bound   time.Duration
 	zone    string
 	fleet   Fleet
+	eras    *era.Tracker
 	started time.Time
 	log     *logrus.Entry
 	current atomic.Pointer[closed]
@@ -160,9 +162,10 @@
 }
 
 // New returns the service of a node in a zone, whose process starts now. Bound is the
-// time within which an evacuation must be in force, 0 for none.
-func New(now time.Time, zone string, bound time.Duration, source Source, fleet Fleet, log *logrus.Entry) *Service {
-	s := &Service{source: source, bound: bound, zone: zone, fleet: fleet, started: now, log: log, relist: true}
+// time within which an evacuation must be in force, 0 for none. Eras has the era of each
+// answer of the source before the source returns it.
+func New(now time.Time, zone string, bound time.Duration, source Source, fleet Fleet, eras *era.Tracker, log *logrus.Entry) *Service {
+	s := &Service{source: source, bound: bound, zone: zone, fleet: fleet, eras: eras, started: now, log: log, relist: true}
 	s.current.Store(&closed{})
 	return s
 }
@@ -330,6 +333,11 @@
 	if err != nil {
 		return fmt.Errorf("watch evacuations: %w", err)
 	}
+	if number, _ := s.eras.Current().Number(); number > view.Era {
+		// The revision may have been given out again, so changes before it may be missing.
+		s.RecordEra(clock.Now(), number)
+		return nil
+	}
 	if slices.ContainsFunc(changes, func(c Change) bool { return !validZone(c.Zone) }) {
 		s.log.WithField("revision", revision).Warn("evacuation that can't be read; listing all")
 		s.setRelist(true)
@@ -345,6 +353,9 @@
 	if err != nil {
 		return fmt.Errorf("list evacuations: %w", err)
 	}
+	if number, _ := s.eras.Current().Number(); number > view.Era {
+		view.Era = number
+	}
 	next, invalid := view.WithZones(revision, zones)
 	if invalid > 0 {
 		s.log.WithField("count", invalid).Warn("evacuations without a readable zone ignored")
--- a/internal/fleet/evacuation/evacuation_test.go
+++ b/internal/fleet/evacuation/evacuation_test.go
@@ -11,6 +11,7 @@
 
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"chestnutshed.example/chestnutshed/internal/fleet/evacuation"
 	"github.com/goccy/go-json"
 	"github.com/matryer/is"
@@ -102,7 +103,7 @@
 func newService(now time.Time, zone string, s *source, f *fleet) *evacuation.Service {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return evacuation.New(now, zone, bound, s, f, logrus.NewEntry(log))
+	return evacuation.New(now, zone, bound, s, f, era.New(logrus.NewEntry(log)), logrus.NewEntry(log))
 }
 
 // run starts a service until the test ends.
@@ -227,13 +228,30 @@
 	is.Equal(s.OwnZone(start.Add(bound+time.Second)), evacuation.Evacuated)
 }
 
+// The store comes back from a copy while a node waits there for changes, and gives the
+// revision that the node waits from out again: the answer alone does not tell what changed.
+func TestWatchAnsweredInNewEra(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	eras := era.New(logrus.NewEntry(log))
+	eras.Observe(era.At(1), "store")
+	store := &source{zones: []string{"b"}, revision: 100}
+	s := evacuation.New(clock.Now(), "a", bound, store, &fleet{}, eras, logrus.NewEntry(log))
+	run(t, s)
+	eventually(t, "zone b is known", func() bool { return s.Has(clock.Now(), "b") })
+	eras.Observe(era.At(2), "store")
+	store.set(func(s *source) { s.zones, s.revision = []string{"a"}, 100 })
+	eventually(t, "zone a is evacuated", func() bool { return s.OwnZone(clock.Now()) == evacuation.Evacuated })
+}
+
 // A deployment without evacuations asks nobody and closes nothing.
 func TestNoEvacuations(t *testing.T) {
 	is := is.New(t)
 	store := &source{zones: []string{"a"}, revision: 3}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := evacuation.New(clock.Now(), "a", 0, store, &fleet{}, logrus.NewEntry(log))
+	s := evacuation.New(clock.Now(), "a", 0, store, &fleet{}, era.New(logrus.NewEntry(log)), logrus.NewEntry(log))
 	run(t, s)
 	s.Noted(clock.Now(), "peer", note(`{"rev":10,"zones":["a"],"age":0}`))
 	time.Sleep(time.Second)
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -19,6 +19,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/departure"
+	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"chestnutshed.example/chestnutshed/internal/fleet/evacuation"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
@@ -82,11 +83,14 @@
 
 // Adapter holds the parts that depend on the platform.
 type Adapter struct {
-	Dialect       call.Dialect
-	Source        confsync.Source
-	Directory     roster.Directory
-	Leaves        departure.Store
-	Evacuations   evacuation.Source
+	Dialect     call.Dialect
+	Source      confsync.Source
+	Directory   roster.Directory
+	Leaves      departure.Store
+	Evacuations evacuation.Source
+	// Eras tracks the era of the store, which its client tells. Nil is a store that never
+	// comes back from an older copy.
+	Eras          *era.Tracker
 	Announcements func(sink *inbound.Service, address string, now func() time.Time, log *logrus.Entry) http.Handler
 	Ready         func(ready func() bool) http.Handler
 }
@@ -123,12 +127,19 @@
 		debug.SetMemoryLimit(int64(float64(s.Memory<<20) * memoryFraction))
 	}
 	n.kernel.OnPanic = n.recordPanic
+	if adapter.Eras == nil {
+		adapter.Eras = era.New(n.log)
+	}
+	n.metricSet.NewGauge("store_era", func() float64 {
+		number, _ := adapter.Eras.Current().Number()
+		return float64(number)
+	})
 	now := clock.Now()
 	n.config = confsync.New(adapter.Source, s.RevokeDelay.Duration(), n.logger(confsync.Name))
 	var err error
 	n.roster, err = roster.New(now, roster.Options{Node: s.Node, Listen: s.Datagrams, Self: member.Record{
 		Address: s.Public.Peers, Operators: s.Operators, Datagrams: s.Public.Datagrams, Zone: s.Zone, Region: s.Region,
-	}}, adapter.Directory, n.config, n.logger(roster.Name))
+	}, Eras: adapter.Eras}, adapter.Directory, n.config, n.logger(roster.Name))
 	if err != nil {
 		return nil, fmt.Errorf("open roster: %w", err)
 	}
@@ -138,10 +149,10 @@
 	n.roster.AddTopic(quarantine.Name, n.quarantine)
 	n.rejections = rejection.New(clock.Now, n.logger(rejection.Name))
 	n.roster.AddTopic(rejection.Name, n.rejections)
-	n.departures = departure.New(s.Node, adapter.Leaves, n.roster.IsFirst, n.logger(departure.Name))
-	n.evacuations = evacuation.New(now, s.Zone, s.EvacuationDelay.Duration(), adapter.Evacuations, n.roster, n.logger(evacuation.Name))
+	n.evacuations = evacuation.New(now, s.Zone, s.EvacuationDelay.Duration(), adapter.Evacuations, n.roster, adapter.Eras, n.logger(evacuation.Name))
 	n.roster.AddTopic(evacuation.Name, n.evacuations)
 	n.metricSet.NewGauge("evacuated_zones", func() float64 { return float64(n.evacuations.Count(clock.Now())) })
+	n.departures = departure.New(s.Node, adapter.Leaves, n.roster, adapter.Eras, n.logger(departure.Name))
 	answers := httpconn.NewBudget(responseBudget(s))
 	n.inbound = inbound.New(inbound.Options{
 		Address: s.Target, ResponseBudget: answers, Retries: retrybudget.Limits{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration()}, OnChange: n.publishTarget,
