--- a/internal/fleet/evacuation/evacuation_test.go
+++ b/internal/fleet/evacuation/evacuation_test.go
@@ -231,7 +231,6 @@
 // The store comes back from a copy while a node waits there for changes, and gives the
 // revision that the node waits from out again: the answer alone does not tell what changed.
 func TestWatchAnsweredInNewEra(t *testing.T) {
-	is := is.New(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	eras := era.New(logrus.NewEntry(log))
