httpconn: keep connections to targets where it is safe, count them by reason

One package, policy/connreuse, decides now: a cancelled call that is about to end goes on for 100 ms at most; a connection that is too old for one request is left to others; as many are kept as the target has slots; a retry at the same target avoids only the connection of the refused attempt. The limit of 700 ms for requests that can't be repeated stays: some targets drop idle connections without notice, and a longer limit would lose such requests.

--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -8,20 +8,20 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"chestnutshed.example/chestnutshed/internal/policy/connreuse"
 )
 
 const (
 	// concurrentBody is the size, in bytes, from which a request body is written
 	// while the response is read. Smaller ones fit into the socket's send buffer.
 	concurrentBody = 16 << 10
-	// idleFraction is the fraction of the server's keep-alive timeout after which
-	// an idle connection is not reused.
-	idleFraction = 0.6
 	// defaultKeepAlive is the keep-alive timeout assumed for servers that send
 	// no Keep-Alive header.
 	defaultKeepAlive = 8 * time.Second
@@ -48,6 +48,9 @@
 	// idleCapFor is how long, after a stale connection, no connection is reused
 	// that was idle for at least half as long as the stale one.
 	idleCapFor = 20 * time.Second
+	// maxRefused is the number of refused requests that a connection remembers. Beyond
+	// it, requests that must not follow a refused attempt of their own do not use it.
+	maxRefused = 256
 )
 
 // PortRefused reports whether a port refuses connections, which means that the process
@@ -78,6 +81,12 @@
 	// Match says which request a response with header h belongs to. Nil accepts every
 	// response.
 	Match func(req *Request, h http.Header) Match
+	// Refused says whether a response is a refusal, and ID names a request over all its
+	// attempts. Without them, Reuse.Separate uses a new connection.
+	Refused func(*Response) bool
+	ID      func(*Request) string
+	// OnOpen is called with the reason of each new connection. Nil ignores it.
+	OnOpen func(connreuse.Reason)
 }
 
 // Match says which request a response belongs to.
@@ -100,7 +109,9 @@
 
 	mu             sync.Mutex
 	idle           []*clientConn
+	maxIdle        int
 	dials, resends uint64
+	ledger         connreuse.Ledger
 	// idleCap is the idle time from which connections are not reused. It applies
 	// until idleCapUntil, after a connection that was idle for longer was stale.
 	idleCap      time.Duration
@@ -114,9 +125,14 @@
 	// Retry sends the request again, on a new connection, when the idle connection
 	// was stale. Set it only for requests that may be repeated.
 	Retry bool
-	// Fresh uses a new connection. On an idle one, a response to an earlier attempt of
-	// the same request may follow.
+	// Fresh uses a new connection.
 	Fresh bool
+	// Separate uses no connection that has carried a refused attempt of the same
+	// request, since its response may follow once more.
+	Separate bool
+	// FinishTime returns how long the request goes on after its context was cancelled,
+	// so that its connection is kept. Nil ends it at once.
+	FinishTime func() time.Duration
 	// OnSend is called once a connection is open, before the request is written to it.
 	OnSend func()
 }
@@ -131,10 +147,21 @@
 	expires time.Time
 	// idleSince is zero until the first response.
 	idleSince time.Time
+	// refused are the requests on this connection that were refused.
+	refused []string
 }
 
 // NewPool returns an empty pool for an address.
-func NewPool(address string, o Options) *Pool { return &Pool{address: address, options: o} }
+func NewPool(address string, o Options) *Pool {
+	return &Pool{address: address, options: o, maxIdle: o.MaxIdle}
+}
+
+// SetMaxIdle changes the maximum number of idle connections.
+func (p *Pool) SetMaxIdle(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = n
+}
 
 // Address is the address that the pool connects to.
 func (p *Pool) Address() string { return p.address }
@@ -146,6 +173,13 @@
 	return p.dials
 }
 
+// Opened is the number of connection attempts so far by their reason.
+func (p *Pool) Opened() map[connreuse.Reason]uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ledger.Counts()
+}
+
 // Resends is the number of requests that were sent again after a stale connection.
 func (p *Pool) Resends() uint64 {
 	p.mu.Lock()
@@ -160,30 +194,25 @@
 	p.idle = nil
 	p.mu.Unlock()
 	for _, c := range idle {
-		_ = c.conn.Close()
+		p.lose(c, connreuse.Broken)
 	}
 }
 
 // Do sends a request and reads the whole response. The error wraps ErrNotSent when
 // nothing was sent.
 func (p *Pool) Do(ctx context.Context, r *Request, reuse Reuse) (*Response, error) {
-	c, err := p.get(ctx, reuse)
+	c, err := p.get(ctx, r, reuse)
 	if err != nil {
 		return nil, err
 	}
 	if reuse.OnSend != nil {
 		reuse.OnSend()
 	}
-	idleTime, start := c.idleTime(time.Now()), time.Now()
-	resp, err := p.exchange(ctx, c, r)
-	if !isStale(err, idleTime, time.Since(start)) {
-		return resp, err
-	}
-	p.capIdle(time.Now(), idleTime)
-	if !reuse.Retry {
+	resp, stale, err := p.exchange(ctx, c, r, reuse)
+	if !stale || !reuse.Retry {
 		return resp, err
 	}
-	fresh, dialErr := p.dial(ctx)
+	fresh, dialErr := p.dial(ctx, "")
 	if dialErr != nil {
 		// Don't wrap the dial error: it contains ErrNotSent, but the request was
 		// sent on the stale connection.
@@ -192,28 +221,115 @@
 	p.mu.Lock()
 	p.resends++
 	p.mu.Unlock()
-	return p.exchange(ctx, fresh, r)
+	resp, _, err = p.exchange(ctx, fresh, r, reuse)
+	return resp, err
 }
 
 // exchange sends one request on a connection and puts the connection back or closes
-// it. After a timeout it closes all idle connections too, unless ctx ended.
-func (p *Pool) exchange(ctx context.Context, c *clientConn, r *Request) (*Response, error) {
-	stop := context.AfterFunc(ctx, c.interrupt)
+// it. After a timeout it closes all idle connections too, unless ctx ended. Stale reports
+// whether the server had dropped the connection while it was idle.
+func (p *Pool) exchange(ctx context.Context, c *clientConn, r *Request, reuse Reuse) (resp *Response, stale bool, err error) {
+	start := time.Now()
+	idleTime := c.idleTime(start)
+	end := interruptAfter(ctx, c, reuse.FinishTime)
 	watch := watchWindow(c.conn)
 	resp, keep, err := c.exchange(r, p.options)
 	watch.stop()
-	if !stop() {
-		keep = false
+	interrupted := !end.stop()
+	if stale = isStale(err, idleTime, time.Since(start)); stale {
+		p.capIdle(time.Now(), idleTime)
 	}
-	if !keep || err != nil {
-		_ = c.conn.Close()
-	} else {
+	switch {
+	case interrupted && errors.Is(ctx.Err(), context.Canceled):
+		p.lose(c, connreuse.Cancelled)
+	case interrupted:
+		p.lose(c, connreuse.Deadline)
+	case stale:
+		p.lose(c, connreuse.Stale)
+	case err != nil:
+		p.lose(c, connreuse.Broken)
+	case !keep:
+		p.lose(c, connreuse.Ended)
+	default:
+		p.recordRefusal(c, r, resp)
 		p.put(c)
 	}
 	if err != nil && isTimeout(err) && ctx.Err() == nil {
 		p.CloseIdle()
 	}
-	return resp, err
+	return resp, stale, err
+}
+
+// lose closes a connection for a reason.
+func (p *Pool) lose(c *clientConn, reason connreuse.Reason) {
+	p.mu.Lock()
+	p.ledger.Lost(time.Now(), reason)
+	p.mu.Unlock()
+	_ = c.conn.Close()
+}
+
+// recordRefusal notes on a connection that it has carried a refused attempt.
+func (p *Pool) recordRefusal(c *clientConn, r *Request, resp *Response) {
+	if p.options.Refused != nil && p.options.ID != nil && len(c.refused) < maxRefused && p.options.Refused(resp) {
+		c.refused = append(c.refused, p.options.ID(r))
+	}
+}
+
+// carriedRefused reports whether a refused attempt of a request may have been on the
+// connection.
+func (c *clientConn) carriedRefused(id string) bool {
+	return len(c.refused) >= maxRefused || slices.Contains(c.refused, id)
+}
+
+// interruption ends an exchange when its context has ended, at once or some time later.
+type interruption struct {
+	conn    *clientConn
+	unwatch func() bool
+
+	mu             sync.Mutex
+	timer          *time.Timer
+	stopped, fired bool
+}
+
+func interruptAfter(ctx context.Context, c *clientConn, finishTime func() time.Duration) *interruption {
+	i := &interruption{conn: c}
+	i.unwatch = context.AfterFunc(ctx, func() {
+		wait := time.Duration(0)
+		if finishTime != nil && errors.Is(ctx.Err(), context.Canceled) {
+			wait = finishTime()
+		}
+		if wait <= 0 {
+			i.fire()
+			return
+		}
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		if !i.stopped {
+			i.timer = time.AfterFunc(wait, i.fire)
+		}
+	})
+	return i
+}
+
+func (i *interruption) fire() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.stopped {
+		i.fired = true
+		i.conn.interrupt()
+	}
+}
+
+// stop reports whether the exchange was not interrupted. It is not interrupted afterwards.
+func (i *interruption) stop() bool {
+	i.unwatch()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.stopped = true
+	if i.timer != nil {
+		i.timer.Stop()
+	}
+	return !i.fired
 }
 
 // isStale reports whether an exchange failed because the server had dropped the
@@ -242,23 +358,21 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// get returns an idle connection that is fit for reuse, or a new one. Idle ones that
-// are not fit are closed.
-func (p *Pool) get(ctx context.Context, reuse Reuse) (*clientConn, error) {
-	if reuse.Fresh {
-		return p.dial(ctx)
+// get returns an idle connection that is fit for the request, or a new one. Idle ones that
+// are fit for none are closed.
+func (p *Pool) get(ctx context.Context, r *Request, reuse Reuse) (*clientConn, error) {
+	if reuse.Fresh || reuse.Separate && (p.options.ID == nil || p.options.Refused == nil) {
+		return p.dial(ctx, connreuse.Separate)
 	}
 	for {
-		c, idleCap := p.takeIdle(time.Now())
+		c, left := p.takeIdle(time.Now(), r, reuse)
 		if c == nil {
-			return p.dial(ctx)
+			return p.dial(ctx, left)
 		}
-		now := time.Now()
-		fresh := (reuse.MaxIdleTime == 0 || c.idleTime(now) < reuse.MaxIdleTime) && (idleCap == 0 || c.idleTime(now) < idleCap)
-		if fresh && now.Before(c.expires) && c.in.Buffered() == 0 && healthy(c.conn) {
+		if c.in.Buffered() == 0 && healthy(c.conn) {
 			return c, nil
 		}
-		_ = c.conn.Close()
+		p.lose(c, connreuse.Ended)
 	}
 }
 
@@ -270,36 +384,57 @@
 	return now.Sub(c.idleSince)
 }
 
-// takeIdle removes the most recently used idle connection and returns it with the cap
-// on its idle time, 0 for no cap. It returns nil when no connection is idle.
-func (p *Pool) takeIdle(now time.Time) (*clientConn, time.Duration) {
+// takeIdle removes the most recently used idle connection that is fit for the request. It
+// returns nil when there is none, with the reason why connections were left idle.
+func (p *Pool) takeIdle(now time.Time, r *Request, reuse Reuse) (*clientConn, connreuse.Reason) {
+	id := ""
+	if reuse.Separate {
+		id = p.options.ID(r)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil, 0
+	limits := connreuse.Limits{Request: reuse.MaxIdleTime}
+	if !now.After(p.idleCapUntil) {
+		limits.Server = max(p.idleCap, time.Nanosecond)
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	if now.After(p.idleCapUntil) {
-		return c, 0
+	left := connreuse.Reason("")
+	for n := len(p.idle) - 1; n >= 0; n-- {
+		c := p.idle[n]
+		verdict := connreuse.Decide(connreuse.Connection{
+			Idle: c.idleTime(now), Expired: !now.Before(c.expires), Refused: reuse.Separate && c.carriedRefused(id),
+		}, limits)
+		switch v := verdict.(type) {
+		case connreuse.Leave:
+			left = v.Reason
+			continue
+		case connreuse.Close:
+			_ = c.conn.Close()
+			p.ledger.Lost(now, v.Reason)
+		}
+		p.idle = slices.Delete(p.idle, n, n+1)
+		if verdict == (connreuse.Use{}) {
+			return c, ""
+		}
 	}
-	return c, max(p.idleCap, time.Nanosecond)
+	return nil, left
 }
 
 // put adds a connection to the idle ones, or closes it when there are enough.
 func (p *Pool) put(c *clientConn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
-	if len(p.idle) < p.options.MaxIdle {
+	if len(p.idle) < p.maxIdle {
 		p.idle = append(p.idle, c)
 		c = nil
+	} else {
+		p.ledger.Lost(c.idleSince, connreuse.Surplus)
 	}
 	// Connections are reused last in, first out. The oldest one may never be
 	// taken again, so close it here once it has expired.
 	var old *clientConn
 	if len(p.idle) > 0 && !p.idle[0].expires.After(time.Now()) {
 		old, p.idle = p.idle[0], p.idle[1:]
+		p.ledger.Lost(time.Now(), connreuse.Expired)
 	}
 	p.mu.Unlock()
 	for _, c := range []*clientConn{c, old} {
@@ -309,10 +444,16 @@
 	}
 }
 
-func (p *Pool) dial(ctx context.Context) (*clientConn, error) {
+// dial opens a connection. Left is the reason why idle ones were left, empty if there were
+// none.
+func (p *Pool) dial(ctx context.Context, left connreuse.Reason) (*clientConn, error) {
 	p.mu.Lock()
 	p.dials++
+	reason := p.ledger.Opened(time.Now(), left)
 	p.mu.Unlock()
+	if p.options.OnOpen != nil {
+		p.options.OnOpen(reason)
+	}
 	d := net.Dialer{Timeout: p.options.DialTimeout, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
@@ -393,7 +534,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		c.expires = time.Now().Add(time.Duration(float64(keepAliveTimeout(resp.Header)) * idleFraction))
+		c.expires = time.Now().Add(connreuse.Expiry(keepAliveTimeout(resp.Header)))
 		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, framed && !resp.Close && !taken.isRevoked(), nil
 	}
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -20,6 +20,7 @@
 	"chestnutshed.example/chestnutshed/internal/fleet/rejection"
 	"chestnutshed.example/chestnutshed/internal/policy/admission"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
+	"chestnutshed.example/chestnutshed/internal/policy/connreuse"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
 	"chestnutshed.example/chestnutshed/internal/policy/cutoff"
 	"chestnutshed.example/chestnutshed/internal/policy/latency"
@@ -43,12 +44,6 @@
 	dialTimeout = 500 * time.Millisecond
 	// maxResponse is the largest response accepted from the target, in bytes.
 	maxResponse = 32 << 20
-	// maxIdleConns is the number of idle connections kept open to the target.
-	maxIdleConns = 128
-	// nonIdempotentIdle is the longest time a connection may have been idle to be
-	// used for a request that can't be retried. The target may close an older one
-	// while the request is in transit.
-	nonIdempotentIdle = 700 * time.Millisecond
 	// responseGrace is how long past the deadline to wait for the response that the
 	// target itself sends when the deadline expires.
 	responseGrace = 40 * time.Millisecond
@@ -176,7 +171,7 @@
 		duration:   set.NewHistogram("target_seconds"),
 	}
 	s.pool = httpconn.NewPool(o.Address, httpconn.Options{
-		DialTimeout: dialTimeout, MaxIdle: maxIdleConns, MaxBody: maxResponse, Budget: o.ResponseBudget,
+		DialTimeout: dialTimeout, MaxIdle: connreuse.MaxIdle(0), MaxBody: maxResponse, Budget: o.ResponseBudget,
 		Match: func(r *httpconn.Request, h http.Header) httpconn.Match {
 			switch d.ParseReply(http.StatusOK, h).ID {
 			case "":
@@ -186,6 +181,14 @@
 			}
 			return httpconn.OtherRequest
 		},
+		Refused: func(r *httpconn.Response) bool {
+			reply := d.ParseReply(r.Status, r.Header)
+			return reply.NotRun || reply.WrongTarget
+		},
+		ID: func(r *httpconn.Request) string { return d.ParseRequest(r.Header).ID },
+		OnOpen: func(reason connreuse.Reason) {
+			set.GetOrCreateCounter("target_connections_total{reason=\"" + string(reason) + "\"}").Inc()
+		},
 	})
 	set.NewGauge("target_resends_total", func() float64 { return float64(s.pool.Resends()) })
 	return s
@@ -264,6 +267,7 @@
 			s.serviceTimes.Reset()
 		}
 		s.notifyWaiting(s.overload.SetSlots(now, s.slots()))
+		s.pool.SetMaxIdle(connreuse.MaxIdle(next.Slots()))
 	}
 	s.mu.Unlock()
 	if !changed {
@@ -606,9 +610,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return struct {
-		Target   lifecycle.Announcement `json:"target"`
-		State    string                 `json:"state"`
-		Overload overload.State         `json:"intake"`
-		Dials    uint64                 `json:"connections"`
-	}{s.target.Last, s.target.State.String(), s.overload.State(), s.pool.Dials()}
+		Target   lifecycle.Announcement      `json:"target"`
+		State    string                      `json:"state"`
+		Overload overload.State              `json:"intake"`
+		Dials    uint64                      `json:"connections"`
+		Opened   map[connreuse.Reason]uint64 `json:"opened"`
+	}{s.target.Last, s.target.State.String(), s.overload.State(), s.pool.Dials(), s.pool.Opened()}
 }
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -10,6 +10,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/admission"
+	"chestnutshed.example/chestnutshed/internal/policy/connreuse"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
@@ -36,9 +37,9 @@
 	out.Header = maps.Clone(r.Header)
 	httpconn.StripHopHeaders(out.Header)
 	s.dialect.Outgoing(out.Header, c.WithRemaining(left))
-	reuse := httpconn.Reuse{Retry: c.Idempotent, Fresh: c.SameTarget}
-	if !c.Idempotent {
-		reuse.MaxIdleTime = nonIdempotentIdle
+	reuse := httpconn.Reuse{
+		Retry: c.Idempotent, Separate: c.SameTarget, MaxIdleTime: connreuse.MaxIdleTime(c.Idempotent),
+		FinishTime: func() time.Duration { return s.finishTime(began, c) },
 	}
 	s.sends.Inc()
 	s.recordStart(began, id, c, deadline)
@@ -65,6 +66,15 @@
 	return outcome
 }
 
+// finishTime returns how long a cancelled call goes on, so that its connection is kept.
+func (s *Service) finishTime(began time.Time, c call.Call) time.Duration {
+	now := clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	expected := time.Duration(s.serviceTimes.Estimate(now, c.Route) * float64(time.Second))
+	return connreuse.FinishTime(expected, now.Sub(began))
+}
+
 // classify turns the target's response or the transport error into an outcome.
 func (s *Service) classify(ctx context.Context, began, now time.Time, id uint64, c call.Call, resp *httpconn.Response, err error) call.Outcome {
 	switch {
