returns: refused callers get a place in a queue, or are told that there is none

Cause: a caller refused on overload was told a random part of its route's objective, one over the rate 700 ms. In a long shortage the number of those served follows from the capacity alone; what can be gained is who is served, in time or late, and the room when the shortage ends.

policy/returns gives out places at half the rate at which requests get through: at each entry node by service, class of importance and organisation, and at the holder of the rates by organisation. Returns are recognised by organisation, route, deadline and time. They come first in their class, or may draw a tenth of the burst that first requests leave. Nothing is set aside for them. Callers out of reach of a place are told so by a longer time, spread.

Ruled out: capacity kept free for places, a place for every caller (all served late), the shortened deadline as evidence (deadlines of first attempts vary by 15 in 100).

--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/policy/bucket"
+	"chestnutshed.example/chestnutshed/internal/policy/returns"
 	"github.com/goccy/go-json"
 	"github.com/sirupsen/logrus"
 )
@@ -88,8 +90,19 @@
 	// use up the rate first. They may use the full rate while the bucket holds more
 	// than that.
 	reservedFraction = 0.2
-	// retryAfter is the delay sent to a caller over the rate.
-	retryAfter = 700 * time.Millisecond
+	// placedReserve and unplacedReserve are the same for callers that come back, with a
+	// place and without one.
+	placedReserve   = 0.1
+	unplacedReserve = 0.35
+	// maxReach bounds how far ahead places are given, and maxPlaces how many a node keeps
+	// for callers to come. maxWait bounds the wait that a holder tells.
+	maxReach  = 10 * time.Second
+	maxPlaces = 100
+	maxWait   = time.Minute
+	// shortFor is how long the holder's word is used on when there is a place. Without
+	// it, unknownWait is told.
+	shortFor    = 200 * time.Millisecond
+	unknownWait = 700 * time.Millisecond
 )
 
 // Fleet is the part of the roster that the service uses.
@@ -106,22 +119,46 @@
 }
 
 // class selects a token cache: the requests of an organisation that have the
-// highest rank, or all its others.
+// highest rank, or all its others, by whether they come back after a refusal.
 type class struct {
-	Organisation string `json:"org"`
-	LowRank      bool   `json:"low,omitempty"`
+	Organisation string       `json:"org"`
+	LowRank      bool         `json:"low,omitempty"`
+	Turn         returns.Turn `json:"turn,omitempty"`
 }
 
-// request asks the holder for tokens of one class.
+// reserve is the fraction of the burst that requests of a class leave to others.
+func (c class) reserve() float64 {
+	switch {
+	case !c.LowRank:
+		return 0
+	case c.Turn == returns.WithPlace:
+		return placedReserve
+	case c.Turn == returns.WithoutPlace:
+		return unplacedReserve
+	}
+	return reservedFraction
+}
+
+// request asks the holder for tokens of one class, and for places of callers that it
+// refuses.
 type request struct {
 	class
 	bucket.Request
+	// Seek is the number of callers that want a place, and Reach how far ahead it may be,
+	// in milliseconds.
+	Seek  int   `json:"seek,omitempty"`
+	Reach int64 `json:"reach,omitempty"`
 }
 
 // grant answers a request.
 type grant struct {
 	class
 	bucket.Grant
+	// Places is the number of places: the first after Wait, the others every Step, in
+	// milliseconds. Without places, Wait is when the next is free.
+	Places int     `json:"places,omitempty"`
+	Wait   int64   `json:"wait,omitempty"`
+	Step   float64 `json:"step,omitempty"`
 }
 
 // message carries requests to the holder, or its grants.
@@ -141,6 +178,45 @@
 	waiting     int
 	refilled    chan struct{}
 	exhaustedAt time.Time
+	// refused is the number of callers refused since the last draw, and reach how far
+	// ahead a place of the last one may be.
+	refused int
+	reach   time.Duration
+	// places are the times of places from the holder that no caller has been told yet.
+	places []time.Time
+	// shortUntil is when the holder has the next free place, as said at shortAt.
+	shortUntil, shortAt time.Time
+}
+
+// place removes the first place that is not past and returns the wait for it.
+func (p *cache) place(now time.Time, reach time.Duration) (time.Duration, bool) {
+	p.places = slices.DeleteFunc(p.places, func(at time.Time) bool { return at.Before(now) })
+	if len(p.places) == 0 || p.places[0].Sub(now) > reach {
+		return 0, false
+	}
+	wait := p.places[0].Sub(now)
+	p.places = p.places[1:]
+	return wait, true
+}
+
+// addPlaces stores what the holder says of places. Those beyond what a holder gives are
+// ignored.
+func (p *cache) addPlaces(now time.Time, g grant) {
+	if g.Wait <= 0 {
+		return
+	}
+	wait := time.Duration(min(g.Wait, maxWait.Milliseconds())) * time.Millisecond
+	if g.Places <= 0 {
+		p.shortUntil, p.shortAt = now.Add(wait), now
+	}
+	for i := range min(g.Places, maxPlaces-len(p.places)) {
+		ahead := wait.Seconds() + float64(i)*g.Step/1000
+		if ahead < 0 || ahead > maxReach.Seconds() {
+			break
+		}
+		p.places = append(p.places, now.Add(time.Duration(ahead*float64(time.Second))))
+	}
+	slices.SortFunc(p.places, time.Time.Compare)
 }
 
 // fallback is this node's share of an organisation's rate without a holder.
@@ -169,6 +245,7 @@
 	buckets     map[string]*bucket.Bucket
 	caches      map[class]*cache
 	fallbacks   map[string]fallback
+	lines       map[string]returns.Line
 	lastDraw    time.Time
 	drawPending bool
 	// alone is set while no other node is known.
@@ -193,7 +270,7 @@
 func New(now func() time.Time, fleet Fleet, config *confsync.Service, log *logrus.Entry) *Service {
 	return &Service{
 		fleet: fleet, config: config, log: log, now: now, electableFrom: now().Add(electionDelay), lastActive: now(),
-		buckets: map[string]*bucket.Bucket{}, caches: map[class]*cache{}, fallbacks: map[string]fallback{}, deaf: map[string]time.Time{},
+		buckets: map[string]*bucket.Bucket{}, caches: map[class]*cache{}, fallbacks: map[string]fallback{}, lines: map[string]returns.Line{}, deaf: map[string]time.Time{},
 	}
 }
 
@@ -210,18 +287,49 @@
 // String is the value used in logs.
 func (r Result) String() string { return [...]string{"taken", "standing", "exceeded"}[r] }
 
-// RetryAfter is the delay after which a caller over the rate may retry.
-func RetryAfter() time.Duration { return retryAfter }
+// Request is what a token is needed for.
+type Request struct {
+	// Rank is the rank of the request, 0 being the highest.
+	Rank int
+	// Turn says whether it comes back after a refusal.
+	Turn returns.Turn
+	// Reach is how far ahead a place may be to be of use to its caller.
+	Reach time.Duration
+}
 
-// Take spends one token of an organisation for a request of the given rank, 0
+// Take spends one token of an organisation for a first request of the given rank, 0
 // being the highest. It waits at most drawTimeout for the holder's answer.
 func (s *Service) Take(ctx context.Context, now time.Time, org *rules.Organisation, rank int) Result {
+	return s.TakeFor(ctx, now, org, Request{Rank: rank})
+}
+
+// Refuse returns what a caller that got no token is told; u is uniform in [0, 1).
+func (s *Service) Refuse(now time.Time, org *rules.Organisation, r Request, c returns.Caller, u float64) returns.Told {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.cacheOf(classOf(org, r))
+	if wait, ok := p.place(now, c.Reach()); ok {
+		return returns.Placed(wait)
+	}
+	if now.Sub(p.shortAt) > shortFor {
+		return returns.Unplaced(c, unknownWait, u)
+	}
+	return returns.Unplaced(c, p.shortUntil.Sub(now), u)
+}
+
+func classOf(org *rules.Organisation, r Request) class {
+	return class{Organisation: org.Name, LowRank: r.Rank > 0, Turn: r.Turn}
+}
+
+// TakeFor is Take for any request.
+func (s *Service) TakeFor(ctx context.Context, now time.Time, org *rules.Organisation, r Request) Result {
 	if org.Rate <= 0 {
 		return Taken
 	}
 	s.mu.Lock()
 	s.checkLapse(now)
-	p := s.cacheOf(class{org.Name, rank > 0})
+	p := s.cacheOf(classOf(org, r))
+	p.reach = r.Reach
 	p.CountDemand(now)
 	if p.Spend(now) {
 		if p.Deficit(now, 0) > 0 {
@@ -231,6 +339,7 @@
 		return Taken
 	}
 	if p.Exhausted(now) {
+		p.refused++
 		s.mu.Unlock()
 		return Exceeded
 	}
@@ -326,13 +435,13 @@
 }
 
 // Refund returns the token of a request that did not run.
-func (s *Service) Refund(now time.Time, org *rules.Organisation, rank int) {
+func (s *Service) Refund(now time.Time, org *rules.Organisation, r Request) {
 	if org == nil || org.Rate <= 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cacheOf(class{org.Name, rank > 0}).Refund(now)
+	s.cacheOf(classOf(org, r)).Refund(now)
 }
 
 // cacheOf returns the cache of a class, creating it if needed. The mutex is held.
@@ -374,10 +483,13 @@
 		if want := p.Deficit(now, p.waiting); want > 0 {
 			ask := p.Request(self, bucket.Source{Epoch: holder.Epoch}, want)
 			ask.Immediate = p.waiting
-			if of.LowRank {
-				ask.Reserve = reservedFraction
+			ask.Reserve = of.reserve()
+			draw := request{class: of, Request: ask}
+			if seek := p.refused + p.waiting - len(p.places); p.reach > 0 && seek > 0 {
+				draw.Seek, draw.Reach = seek, p.reach.Milliseconds()
 			}
-			m.Draws = append(m.Draws, request{of, ask})
+			p.refused = 0
+			m.Draws = append(m.Draws, draw)
 			again = again || p.waiting > 0
 		}
 	}
@@ -416,11 +528,24 @@
 		}
 		ask := d.Request
 		ask.Node = node
-		answer.Grants = append(answer.Grants, grant{d.class, s.bucketOf(now, org).Draw(now, ask)})
+		g := grant{class: d.class, Grant: s.bucketOf(now, org).Draw(now, ask)}
+		if d.Seek > 0 && g.Tokens < max(ask.Immediate, 1) {
+			s.place(now, org, d, &g)
+		}
+		answer.Grants = append(answer.Grants, g)
 	}
 	return answer
 }
 
+// place gives places to callers that get no token. The mutex is held.
+func (s *Service) place(now time.Time, org *rules.Organisation, d request, g *grant) {
+	reach := min(time.Duration(d.Reach)*time.Millisecond, maxReach)
+	line, places := s.lines[org.Name].WithPlaces(now, d.Seek, reach, org.Rate)
+	s.lines[org.Name] = line
+	g.Places, g.Wait = places.Count, places.Wait.Milliseconds()
+	g.Step = places.Step.Seconds() * 1000
+}
+
 // bucketOf returns the bucket of an organisation on its holder, with its current
 // limits. Unreachable nodes may be partitioned and spend their fallback shares,
 // which are subtracted here. The mutex is held.
@@ -450,6 +575,7 @@
 		} else {
 			p.Add(sentAt, bucket.Source{Epoch: m.Epoch}, g.Grant)
 		}
+		p.addPlaces(now, g)
 		close(p.refilled)
 		p.refilled = make(chan struct{})
 	}
--- a/internal/traffic/relay/place.go
+++ b/internal/traffic/relay/place.go
@@ -62,14 +62,16 @@
 	return result{errorResponse: &errorResponse{http.StatusServiceUnavailable, r.Reason, s.retryAfter(q, r.Reason, r.RetryAfter)}}
 }
 
-// retryAfter returns the Retry-After of a refusal, at least minimum. On overload it is
-// random, between 0.5 and 1.5 times retryAfterFactor of the route's objective, so
-// that callers don't return at once or all together.
+// retryAfter returns the Retry-After of a refusal, at least minimum. sendBack replaces that
+// of callers' requests on overload once the refusal is final.
 func (s *Service) retryAfter(q *request, reason failure.Reason, minimum time.Duration) time.Duration {
-	if reason != failure.Overload {
+	switch {
+	case reason != failure.Overload:
 		return max(minimum, noTargetRetryAfter)
+	case q.org != nil:
+		return minimum
 	}
-	mean := float64(q.route.Objective) * retryAfterFactor
+	mean := float64(q.route.Objective) * innerRetryAfterFactor
 	return max(minimum, time.Duration(mean*(0.5+rand.Float64())))
 }
 
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -25,6 +25,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/rank"
+	"chestnutshed.example/chestnutshed/internal/policy/returns"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"chestnutshed.example/chestnutshed/internal/traffic/inbound"
@@ -71,10 +72,9 @@
 	// backlogRetryAfter is the Retry-After while slow readers take up the memory for
 	// responses.
 	backlogRetryAfter = 500 * time.Millisecond
-	// retryAfterFactor is the mean Retry-After on overload, as a fraction of the
-	// route's objective: long enough for a surge to pass, short enough for the retry
-	// to be of full value to the caller.
-	retryAfterFactor = 0.4
+	// innerRetryAfterFactor is the mean Retry-After of calls made by targets on overload,
+	// as a fraction of the route's objective.
+	innerRetryAfterFactor = 0.4
 	// maxPools is the number of peers' connection pools above which all of them are
 	// dropped. Those still in use are created again.
 	maxPools = 128
@@ -124,6 +124,8 @@
 	mu            sync.Mutex
 	balancer      *balancer.Balancer
 	ranker        *rank.Ranker
+	told          *returns.Book
+	shortage      *returns.Shortage
 	retriesDenied map[string]time.Time
 	// candidateBuf is reused for the candidates of each choice.
 	candidateBuf []balancer.Candidate
@@ -139,7 +141,7 @@
 func New(zone string, t Settings, p Deps) *Service {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	s := &Service{
-		Deps: p, zone: zone, balancer: balancer.New(zone, random), ranker: rank.New(),
+		Deps: p, zone: zone, balancer: balancer.New(zone, random), ranker: rank.New(), told: returns.NewBook(), shortage: returns.NewShortage(),
 		retriesDenied: map[string]time.Time{}, pools: map[string]*httpconn.Pool{}, targets: newTargets(),
 		duration: p.Metrics.NewHistogram("request_seconds"),
 	}
@@ -189,10 +191,11 @@
 		return nil, errResp
 	}
 	if q.org != nil {
-		got := s.Quota.Take(ctx, clock.Now(), q.org, q.route.Rank)
+		s.claimReturn(clock.Now(), q)
+		got := s.Quota.TakeFor(ctx, clock.Now(), q.org, q.quotaRequest())
 		q.quotaResult = got.String()
 		if got == quota.Exceeded {
-			return nil, &errorResponse{http.StatusTooManyRequests, failure.RateExceeded, quota.RetryAfter()}
+			return nil, s.refuseRate(clock.Now(), q)
 		}
 	}
 	s.buildCall(q)
@@ -201,9 +204,9 @@
 		s.Inbound.EndInnerCall(clock.Now(), q.parent)
 	}
 	if errResp != nil && q.attempts == 0 && q.quotaResult == quota.Taken.String() {
-		s.Quota.Refund(clock.Now(), q.org, q.route.Rank)
+		s.Quota.Refund(clock.Now(), q.org, q.quotaRequest())
 	}
-	return resp, errResp
+	return resp, s.sendBack(clock.Now(), q, errResp)
 }
 
 // quarantined refuses a request that crashes targets.
@@ -286,6 +289,9 @@
 		s.mu.Lock()
 		position := s.ranker.RelativeRank(now, rank.Flow{Organisation: q.org.Name, Class: score(q.org, q.route, 0).Class()}, max(q.org.Rate, 1), rand.Float64())
 		s.mu.Unlock()
+		if q.turn == returns.WithPlace {
+			position = 0
+		}
 		c.Score = score(q.org, q.route, position)
 	}
 	q.call, q.waitUntil = c, now.Add(wait)
@@ -317,6 +323,7 @@
 	defer s.mu.Unlock()
 	s.targets.prune(now)
 	s.ranker.Prune(now)
+	s.told.Prune(now)
 	s.balancer.Prune(present)
 	if len(s.pools) > maxPools {
 		for address, p := range s.pools {
--- a/internal/traffic/relay/request.go
+++ b/internal/traffic/relay/request.go
@@ -10,6 +10,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
+	"chestnutshed.example/chestnutshed/internal/policy/returns"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"github.com/sirupsen/logrus"
@@ -28,7 +29,9 @@
 	route       *rules.Route
 	org         *rules.Organisation
 	quotaResult string
-	call        call.Call
+	// turn says whether the request is the return of a refused one.
+	turn returns.Turn
+	call call.Call
 	// parent is the call running on the own target that made this one.
 	parent correlation.Parent
 	tried  []string
@@ -88,6 +91,9 @@
 	if q.org != nil {
 		fields["organisation"], fields["quota"] = q.org.Name, q.quotaResult
 	}
+	if q.turn != returns.First {
+		fields["turn"] = q.turn.String()
+	}
 	if q.parent.ID != "" {
 		fields["parent"], fields["parent_route"], fields["parent_known"] = q.parent.ID, q.parent.Route, q.parent.RouteKnown
 		fields["parent_off_ms"] = q.parent.Gap.Milliseconds()
