status: a response counts only with a status that one can have

Here too: net/http reads three characters as a number and checks no range. Of 614 texts that are no final status, the connection pool took 502 for complete responses. With the entry beside the target, 000 reached the caller as "HTTP/1.1 0", +20 as 20, and 101 and 600 to 999 as they were; over two nodes 600 to 999 passed, and what is below 100 became 502 only because the first node wrote it with too few digits.

core/status.Final is the one definition, 200 to 599. Such a response counts as lost: the request may have run, the connection is dropped, and the caller gets 502. The operators' tools took any status below 300 for success, so a drain answered with 000 was reported as begun.

Ruled out: health checks, calls between nodes and the object client accept only statuses that they know; retry.TargetFailed counts 500, 502 and 503 only. The store's client did not take such a status for success before; TestImpossibleStatusOfStore was green.

TestDecodeOutcomeOfAnotherCall gives its outcome the status 200, so that it still fails for its ID alone.

--- a/internal/operate/nodeclient/nodeclient.go
+++ b/internal/operate/nodeclient/nodeclient.go
@@ -13,6 +13,7 @@
 	"chestnutshed.example/chestnutshed/internal/config/active"
 	"chestnutshed.example/chestnutshed/internal/config/settings"
 	"chestnutshed.example/chestnutshed/internal/core/listen"
+	"chestnutshed.example/chestnutshed/internal/core/status"
 	"chestnutshed.example/chestnutshed/internal/fleet/claim"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/shard"
@@ -74,6 +75,9 @@
 		return nil, trace.ConnectionProblem(err, "node %s did not answer", address)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !status.Final(resp.StatusCode) || resp.StatusCode >= http.StatusMultipleChoices {
+		return nil, trace.ConnectionProblem(nil, "node %s returned status %s", address, resp.Status)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, fmt.Errorf("read response of node %s: %w", address, err)
@@ -81,9 +85,6 @@
 	if int64(len(body)) > limit {
 		return nil, trace.LimitExceeded("response of node %s exceeds %d bytes", address, limit)
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
-		return nil, trace.ConnectionProblem(nil, "node %s returned status %s", address, resp.Status)
-	}
 	return body, nil
 }
 
--- a/internal/standin/rig/chain_test.go
+++ b/internal/standin/rig/chain_test.go
@@ -146,6 +146,9 @@
 		{"no faults", target.Faults{}, 200},
 		{"truncated", target.Faults{Truncate: true}, 502},
 		{"wrong request ID", target.Faults{WrongEcho: true}, 502},
+		{"status above the final ones", target.Faults{FailStatus: 600}, 502},
+		{"last status of three digits", target.Faults{FailStatus: 999}, 502},
+		{"change of protocol", target.Faults{FailStatus: 101}, 502},
 		{"over the size limit", target.Faults{ResponseSize: 2 << 20}, 502},
 		{"within the size limit", target.Faults{ResponseSize: 1 << 20}, 200},
 	}
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -15,6 +15,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/core/listen"
+	"chestnutshed.example/chestnutshed/internal/core/status"
 	"chestnutshed.example/chestnutshed/internal/fleet/shard"
 	"chestnutshed.example/chestnutshed/internal/policy/rank"
 	"chestnutshed.example/chestnutshed/internal/traffic/owner"
@@ -176,6 +177,9 @@
 // write sends the result of a call as the response.
 func write(w http.ResponseWriter, root string, r sender.Result) {
 	w.Header().Set(wire.RootHeader, root)
+	if r.Refusal == nil && !status.Final(r.Status) {
+		r.Refusal = failure.New(failure.BadResponse, "the response has status %d, which is no final one", r.Status).WithRan(failure.RanUnknown)
+	}
 	if r.Refusal != nil {
 		r.Refusal.WithRoot(root).Write(w)
 		return
--- a/internal/traffic/httpconn/message.go
+++ b/internal/traffic/httpconn/message.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"chestnutshed.example/chestnutshed/internal/core/status"
 )
 
 // Request is a request with its whole body.
@@ -254,8 +256,12 @@
 }
 
 // writeResponse writes a response and sets its Content-Length. The body is left out
-// for HEAD and for the statuses 204 and 304.
+// for HEAD and for the statuses 204 and 304. A response whose status is no final one is
+// replaced by 502, since its request may have run.
 func writeResponse(w *bufio.Writer, method string, r *Response) error {
+	if !status.Final(r.Status) {
+		r = &Response{Status: http.StatusBadGateway, Close: true}
+	}
 	_, _ = w.WriteString("HTTP/1.1 ")
 	_, _ = w.WriteString(strconv.Itoa(r.Status))
 	_ = w.WriteByte(' ')
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"chestnutshed.example/chestnutshed/internal/core/status"
 )
 
 const (
@@ -388,6 +390,9 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		if !status.Final(resp.StatusCode) {
+			return nil, false, fmt.Errorf("read response: status %d is no final one", resp.StatusCode)
+		}
 		taken := o.Budget.share(resp.ContentLength, c.interrupt)
 		body, err := readResponseBody(resp.Body, resp.ContentLength, o.MaxBody, taken)
 		if err != nil {
--- a/internal/traffic/serve/target.go
+++ b/internal/traffic/serve/target.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/core/status"
 	"chestnutshed.example/chestnutshed/internal/traffic/wire"
 	"github.com/gravitational/trace"
 )
@@ -117,6 +118,10 @@
 		r := failure.New(failure.BadResponse, "the target's response belongs to another request")
 		return answer{}, r.WithRan(failure.RanUnknown)
 	}
+	if !status.Final(resp.StatusCode) {
+		c.transport.CloseIdleConnections()
+		return answer{}, failure.New(failure.BadResponse, "the target's response has status %d, which is no final one", resp.StatusCode).WithRan(failure.RanUnknown)
+	}
 	return c.read(ctx, resp, call.MaxResponseBytes)
 }
 
--- a/internal/traffic/wire/wire.go
+++ b/internal/traffic/wire/wire.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/core/status"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
 	"chestnutshed.example/chestnutshed/internal/policy/poison"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
@@ -140,6 +141,9 @@
 	if o.ID != id {
 		return o, trace.BadParameter("%s: id belongs to another call", OutcomeHeader)
 	}
+	if o.Refusal == nil && !status.Final(o.Status) {
+		return o, trace.BadParameter("%s: status %d is no final one", OutcomeHeader, o.Status)
+	}
 	return o, nil
 }
 
--- a/internal/traffic/wire/wire_test.go
+++ b/internal/traffic/wire/wire_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/traffic/wire"
 	"github.com/matryer/is"
 )
@@ -53,7 +54,7 @@
 
 func TestDecodeOutcomeOfAnotherCall(t *testing.T) {
 	is := is.New(t)
-	text, err := wire.Encode(wire.Outcome{ID: "other"})
+	text, err := wire.Encode(wire.Outcome{ID: "other", Status: http.StatusOK})
 	is.NoErr(err)
 	_, err = wire.DecodeOutcome(http.Header{wire.OutcomeHeader: {text}}, "mine")
 	is.True(err != nil)
@@ -82,3 +83,18 @@
 		}
 	})
 }
+
+// An outcome without a refusal has the status of a complete response.
+func TestDecodeOutcomeWithImpossibleStatus(t *testing.T) {
+	for _, status := range []int{-200, 0, 20, 99, 100, 101, 199, 600, 999, 2000} {
+		is := is.New(t)
+		text, err := wire.Encode(wire.Outcome{ID: "mine", Status: status})
+		is.NoErr(err)
+		_, err = wire.DecodeOutcome(http.Header{wire.OutcomeHeader: {text}}, "mine")
+		is.True(err != nil)
+		text, err = wire.Encode(wire.Outcome{ID: "mine", Refusal: failure.New(failure.Overload, "no room")})
+		is.NoErr(err)
+		_, err = wire.DecodeOutcome(http.Header{wire.OutcomeHeader: {text}}, "mine")
+		is.NoErr(err)
+	}
+}
