--- a/cmd/chestnutshed/check.go
+++ b/cmd/chestnutshed/check.go
@@ -10,13 +10,23 @@
 
 const checkUsage = `Validate a manifest, or a settings file with --settings.
 
-Each error names its field. The exit code is 2 if the file is invalid.`
+Each error names its field. The exit code is 2 if the file is invalid.
+
+With --mesh the file holds a configuration of the users' platform. A "?" marks
+entries that have no effect and limits that contradict each other. With --against
+or --node it is compared with the version in force: a "!" marks changes after
+which requests that are served today may be refused. With --strict the exit code
+is 1 if there is a "?" or a "!".`
 
 type checkCommand struct {
 	out io.Writer
 	jsonOption
+	nodeOption
 
-	Settings bool `long:"settings" description:"the file holds settings, not a manifest"`
+	Settings bool   `long:"settings" description:"the file holds settings, not a manifest"`
+	Mesh     bool   `long:"mesh" description:"the file holds a configuration of the users' platform"`
+	Against  string `long:"against" value-name:"FILE" description:"version in force, for --mesh; else it is read from the first --node that answers"`
+	Strict   bool   `long:"strict" description:"fail on findings and risky changes, for --mesh"`
 	Args     struct {
 		File string `positional-arg-name:"FILE" required:"true"`
 	} `positional-args:"true"`
@@ -37,6 +47,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Mesh {
+		return c.checkMesh(text)
+	}
 	if c.Settings {
 		if _, err := settings.Parse(text); err != nil {
 			return fmt.Errorf("%s: %w", c.Args.File, err)
--- a/internal/operate/nodeclient/nodeclient.go
+++ b/internal/operate/nodeclient/nodeclient.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/config/active"
+	"chestnutshed.example/chestnutshed/internal/config/confsync"
 	"chestnutshed.example/chestnutshed/internal/config/settings"
 	"chestnutshed.example/chestnutshed/internal/core/listen"
 	"chestnutshed.example/chestnutshed/internal/core/status"
@@ -93,6 +94,12 @@
 	return c.get(ctx, address, admin.StatePath)
 }
 
+// Configuration returns the text of the configuration in force at a node on the users'
+// platform.
+func (c *Client) Configuration(ctx context.Context, address string) ([]byte, error) {
+	return c.get(ctx, address, confsync.ConfigPath)
+}
+
 // Drain starts a graceful shutdown of a node.
 func (c *Client) Drain(ctx context.Context, address string) error {
 	_, err := c.do(ctx, http.MethodPost, address, admin.DrainPath, maxSmallSize)
