--- a/internal/policy/spill/spill.go
+++ b/internal/policy/spill/spill.go
@@ -24,7 +24,7 @@
 	startLoad = 0.92
 	keepLoad  = 0.85
 	// roomLoad is the load up to which another zone has room.
-	roomLoad = 0.75
+	roomLoad = 0.85
 	// Interval is the time between two steps.
 	Interval = 250 * time.Millisecond
 	// maxStep bounds a step after a pause.
