--- a/internal/policy/balancer/zone.go
+++ b/internal/policy/balancer/zone.go
@@ -22,8 +22,6 @@
 	// probeInterval is the time between two calls that are sent to another zone to learn
 	// whether targets there are faster.
 	probeInterval = 5 * time.Second
-	// mostLeave is the fraction above which most calls of a route leave the zone.
-	mostLeave = 0.5
 	// loggedChange is the least change of a fraction that is reported.
 	loggedChange = 0.1
 )
@@ -38,6 +36,8 @@
 	budget float64
 	// reported is the fraction of the last PlanChange.
 	reported float64
+	// roomy are the other zones that have room.
+	roomy    []string
 	probedAt time.Time
 	probed   int
 }
@@ -88,16 +88,24 @@
 	return admitting, spill.Absent
 }
 
-// Met returns the candidates that calls of a route mostly go to: those of the own zone, unless
-// most calls leave it. The cutoffs of the others say little about what calls meet.
+// Met returns the candidates whose cutoffs calls of a route meet: those of the own zone and
+// of zones with room, to which a call goes that the own zone turns away. Where all zones are
+// full, the most lenient of their cutoffs changes all the time and holds for few calls.
 func (b *Balancer) Met(all []Candidate, service, route string) []Candidate {
-	if b.PlanFraction(service, route) > mostLeave {
+	p, ok := b.plans[planKey{service, route}]
+	if !ok {
 		return all
 	}
-	if own := b.ofZone(all, b.zone); len(own) > 0 {
-		return own
+	b.zoned = b.zoned[:0]
+	for _, k := range all {
+		if k.Zone == b.zone || slices.Contains(p.roomy, k.Zone) {
+			b.zoned = append(b.zoned, k)
+		}
+	}
+	if len(b.zoned) == 0 {
+		return all
 	}
-	return all
+	return b.zoned
 }
 
 // ofZone returns the candidates of a zone. The result is valid until the next call.
@@ -126,7 +134,13 @@
 	if !p.Due(now) {
 		return p
 	}
-	p.Plan = p.WithView(now, b.view(now, usable, call, p.budget))
+	v := b.view(now, usable, call, p.budget)
+	p.Plan, p.roomy = p.WithView(now, v), p.roomy[:0]
+	for _, z := range v.Others {
+		if z.HasRoom() {
+			p.roomy = append(p.roomy, z.Name)
+		}
+	}
 	f := p.Fraction()
 	if math.Abs(f-p.reported) >= loggedChange || (f == 0) != (p.reported == 0) {
 		p.reported = f
--- a/internal/policy/balancer/zone_test.go
+++ b/internal/policy/balancer/zone_test.go
@@ -176,19 +176,29 @@
 	is.Equal(b.PlanFraction("", "r"), 0.0)
 }
 
-// The own zone is full and so is its cutoff, while a target elsewhere has just told that it
-// admits everything. What calls meet is the own cutoff, as long as most of them stay.
-func TestCutoffOfOwnZoneIsMet(t *testing.T) {
-	is := is.New(t)
-	b, all := newBalancer(), twoZones()
+// Where all zones are full, calls meet the cutoff of the own zone, although a target elsewhere
+// has just told that it admits everything. Where that zone has room, its cutoff counts.
+func TestCutoffsMet(t *testing.T) {
 	closed := priority.Cutoff(call().Score)
-	for _, k := range all {
-		r := balancer.Report{Route: "r", Load: 1.2, Cutoff: closed, ServiceTime: 0.1}
-		if k.ID == "there-1" {
-			r.Cutoff = priority.AdmitAll
-		}
-		b.Answered(start, k.ID, r)
+	for name, tt := range map[string]struct {
+		load float64
+		want priority.Cutoff
+	}{"all full": {1.2, closed}, "room elsewhere": {0.3, priority.AdmitAll}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b, all, c := newBalancer(), twoZones(), call()
+			c.Service = "s"
+			for _, k := range all {
+				r := balancer.Report{Route: "r", Load: 1.2, Cutoff: closed, ServiceTime: 0.1}
+				if k.Zone == "there" {
+					r.Load, r.Cutoff = tt.load, priority.AdmitAll
+				}
+				b.Answered(start, k.ID, r)
+			}
+			_, refusal := b.Choose(start, all, c)
+			is.True(refusal == nil)
+			is.Equal(b.Downstream(start, b.Met(all, "s", "r"), "s", "r")[0].Cutoff, tt.want)
+			is.Equal(len(b.Met(all[2:], "s", "r")), 2) // no target in the own zone
+		})
 	}
-	is.Equal(b.Downstream(start, b.Met(all, "s", "r"), "s", "r")[0].Cutoff, closed)
-	is.Equal(len(b.Met(all[2:], "s", "r")), 2) // no target in the own zone
 }
--- a/internal/policy/spill/spill.go
+++ b/internal/policy/spill/spill.go
@@ -213,6 +213,9 @@
 	return (roomLoad - z.Load) * z.Slots
 }
 
+// HasRoom reports whether the zone is known to have room.
+func (z Zone) HasRoom() bool { return z.Known && z.room() > 0 }
+
 // Leaves reports whether a call leaves the zone, and to which zone. Draw is a random number
 // from 0 up to 1.
 func (p Plan) Leaves(draw float64) (string, bool) {
