--- a/internal/policy/spill/spill.go
+++ b/internal/policy/spill/spill.go
@@ -24,7 +24,7 @@
 	startLoad = 0.92
 	keepLoad  = 0.85
 	// roomLoad is the load up to which another zone has room.
-	roomLoad = 0.75
+	roomLoad = 0.85
 	// Interval is the time between two steps.
 	Interval = 250 * time.Millisecond
 	// maxStep bounds a step after a pause.
@@ -213,6 +213,9 @@
 	return (roomLoad - z.Load) * z.Slots
 }
 
+// HasRoom reports whether the zone is known to have room.
+func (z Zone) HasRoom() bool { return z.Known && z.room() > 0 }
+
 // Leaves reports whether a call leaves the zone, and to which zone. Draw is a random number
 // from 0 up to 1.
 func (p Plan) Leaves(draw float64) (string, bool) {
