--- a/internal/fleet/departure/departure.go
+++ b/internal/fleet/departure/departure.go
@@ -155,14 +155,13 @@
 // ensure writes a leave unless it is in the store, or is being written. It returns a channel
 // that is closed once it is there. The mutex is held.
 func (s *Service) ensure(e entry) <-chan struct{} {
-	r, ok := s.kept[e.name()]
-	if ok && (!r.written() || s.eras.Check(r.era) == nil) {
-		return r.done
-	}
-	r = &record{entry: e, done: make(chan struct{})}
-	if ok {
-		r.entry = s.kept[e.name()].entry
+	if before, ok := s.kept[e.name()]; ok {
+		if !before.written() || s.eras.Check(before.era) == nil {
+			return before.done
+		}
+		e = before.entry
 	}
+	r := &record{entry: e, done: make(chan struct{})}
 	s.kept[e.name()] = r
 	go s.write(r)
 	return r.done
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -281,6 +281,7 @@
 func controlBytes(t *testing.T, size int) {
 	is := is.New(t)
 	all := fleet(t, &directory{entries: map[string][]byte{}}, size)
+	all[0].eras.Observe(era.At(1000), "store")
 	const span = 4 * time.Second
 	before := uint64(0)
 	for _, r := range all {
