--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -57,6 +57,8 @@
 	// answeredLeaveTimeout is how long a leave that the target said in an answer may take
 	// to be kept before that is logged.
 	answeredLeaveTimeout = 2 * time.Second
+	// connectionLogInterval is the time between log lines on connections to the target.
+	connectionLogInterval = 10 * time.Second
 	// rationingInterval is the time between updates of which calls may be retried.
 	rationingInterval = 100 * time.Millisecond
 	// unavailableRetryAfter is the Retry-After for calls to a target that is
@@ -577,9 +579,21 @@
 		s.updateRationing(now)
 	})
 	k.Every(syncInterval, func(context.Context) { s.applyHistory(clock.Now()) })
+	logged := uint64(0)
+	k.Every(connectionLogInterval, func(context.Context) { logged = s.logConnections(logged) })
 	return nil
 }
 
+// logConnections logs why connections to the target were opened so far, if more than logged
+// were. It returns their number.
+func (s *Service) logConnections(logged uint64) uint64 {
+	dials := s.pool.Dials()
+	if dials > logged {
+		s.log.WithFields(logrus.Fields{"connections": dials, "opened": s.pool.Opened()}).Info("connections to the target opened")
+	}
+	return dials
+}
+
 // updateRationing decides which calls may be retried from what this target and the others
 // of its service reject.
 func (s *Service) updateRationing(now time.Time) {
