quota: tokens for returning callers are not drawn ahead

Cause: a node drew tokens for the returns expected in the next half second. First requests could not use them, and unused ones count as spent. Twelve nodes, an organisation at eight times its rate of 100 a second for 6 s: 755 tokens used before (303 with a place, 369 first, 83 without a place), 786 after (301, 416, 69). Callers without a place leave a quarter of the burst instead of 0.35: between the two, tokens lay idle after a surge.

--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -93,7 +93,7 @@
 	// placedReserve and unplacedReserve are the same for callers that come back, with a
 	// place and without one.
 	placedReserve   = 0.1
-	unplacedReserve = 0.35
+	unplacedReserve = 0.25
 	// maxReach bounds how far ahead places are given, and maxPlaces how many a node keeps
 	// for callers to come. maxWait bounds the wait that a holder tells.
 	maxReach  = 10 * time.Second
@@ -188,6 +188,16 @@
 	shortUntil, shortAt time.Time
 }
 
+// want is the number of tokens to draw now. Those for returning callers are not drawn ahead,
+// since first requests could not use them.
+func (p *cache) want(now time.Time, of class) int {
+	want := p.Deficit(now, p.waiting)
+	if of.Turn != returns.First {
+		want = min(want, p.waiting)
+	}
+	return want
+}
+
 // place removes the first place that is not past and returns the wait for it.
 func (p *cache) place(now time.Time, reach time.Duration) (time.Duration, bool) {
 	p.places = slices.DeleteFunc(p.places, func(at time.Time) bool { return at.Before(now) })
@@ -480,7 +490,7 @@
 	m := message{Epoch: holder.Epoch, SentAt: now.UnixNano()}
 	again := false
 	for of, p := range s.caches {
-		if want := p.Deficit(now, p.waiting); want > 0 {
+		if want := p.want(now, of); want > 0 {
 			ask := p.Request(self, bucket.Source{Epoch: holder.Epoch}, want)
 			ask.Immediate = p.waiting
 			ask.Reserve = of.reserve()
