Admit requests by what their whole chain can complete

Cause: half of the admitted requests at the first service of a chain ended with 500 since the last service, four hops down, was short by about a third. A trace showed that its nodes held cutoffs between 8.1 and 11.5, of which the calling node passed on the highest, so that entries refused one request in thirty. Inner calls were refused at random; a run needs eight of them.

Ruled out: refusals of 429 (one organisation over its rate); old reports (they were fresh, but those of the most open node); a lack of slots at the services in between.

Now the nodes of a service agree on one cutoff and on the part of inner calls that they refuse, and all nodes pass them on with probes and results. Entries refuse by the profile of a route, which counts completed runs only. A loss lowers the cutoff once to what can be completed.

The tests of the balancer, the cutoff and the admission fail without the new decisions.

Partial: admission before any queue has formed is not built.

--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -19,6 +19,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/departure"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
+	"chestnutshed.example/chestnutshed/internal/fleet/pressure"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/quota"
 	"chestnutshed.example/chestnutshed/internal/fleet/rejection"
@@ -98,6 +99,7 @@
 	rates      *quota.Service
 	quarantine *quarantine.Service
 	rejections *rejection.Service
+	pressure   *pressure.Service
 	departures *departure.Service
 	inbound    *inbound.Service
 	relay      *relay.Service
@@ -131,12 +133,15 @@
 	n.roster.AddTopic(quarantine.Name, n.quarantine)
 	n.rejections = rejection.New(clock.Now, n.logger(rejection.Name))
 	n.roster.AddTopic(rejection.Name, n.rejections)
+	n.pressure = pressure.New(clock.Now, n.config.Version, n.metricSet, n.logger(pressure.Name))
+	n.roster.AddTopic(pressure.Name, n.pressure)
 	n.departures = departure.New(s.Node, adapter.Leaves, n.roster.IsFirst, n.logger(departure.Name))
 	answers := httpconn.NewBudget(responseBudget(s))
 	n.inbound = inbound.New(inbound.Options{
 		Address: s.Target, ResponseBudget: answers, Retries: retrybudget.Limits{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration()}, OnChange: n.publishTarget,
 		Quarantine:  n.quarantine,
 		Rejections:  n.rejections,
+		Pressure:    n.pressure,
 		Backlogged:  n.backlogged,
 		Synced:      func(now time.Time) bool { return n.roster.Synced(now) },
 		Departures:  n.departures,
@@ -149,12 +154,12 @@
 	}, adapter.Dialect, n.metricSet, n.logger(inbound.Name))
 	n.relay = relay.New(s.Zone, n.relaySettings(s), relay.Deps{
 		Dialect: adapter.Dialect, Config: n.config, Roster: n.roster, Quota: n.rates,
-		Inbound: n.inbound, Quarantine: n.quarantine, Rejections: n.rejections, ResponseBudget: answers, Backlogged: n.backlogged, Metrics: n.metricSet, Log: n.logger(relay.Name),
+		Inbound: n.inbound, Quarantine: n.quarantine, Rejections: n.rejections, Pressure: n.pressure, ResponseBudget: answers, Backlogged: n.backlogged, Metrics: n.metricSet, Log: n.logger(relay.Name),
 	})
 	if err := n.listen(adapter); err != nil {
 		return nil, err
 	}
-	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.quarantine, n.rejections, n.departures, n.inbound, n.relay} {
+	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.quarantine, n.rejections, n.pressure, n.departures, n.inbound, n.relay} {
 		if err := n.kernel.Register(service); err != nil {
 			return nil, fmt.Errorf("assemble node: %w", err)
 		}
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -76,8 +76,14 @@
 	Share        float64
 	Depth        int
 	Deadline     time.Time
+	// Again is set if another target of the service refused the call just before. It is
+	// counted there.
+	Again bool
 }
 
+// inner reports whether a target makes the call.
+func (r Request) inner() bool { return r.Depth > 1 }
+
 // rootScore returns the score of the root request.
 func (r Request) rootScore() priority.Score {
 	if r.RootScore == 0 {
@@ -237,11 +243,16 @@
 // dropped.
 func (c *Controller) Offer(now time.Time, r Request) (Verdict, Changes) {
 	c.accrueBusy(now)
-	c.cutoff.Offer(r.rootScore(), r.Depth > 1, c.meanHold[r.Route])
+	if !r.Again {
+		c.cutoff.Offer(r.rootScore(), r.inner(), c.meanHold[r.Route])
+	}
 	if c.cannotFinish(now, r.Route, r.Deadline) {
 		c.holdEstimate[r.Route] *= holdDecay
 		return Refuse{Reason: failure.Deadline}, Changes{}
 	}
+	if c.shedsChain(r) {
+		return Refuse{Reason: failure.Overload, Backoff: c.RetryAfter()}, Changes{}
+	}
 	idle := c.mayStart(now) && c.queue.Len() == 0
 	if c.options.Shedding && !c.cutoff.Cutoff().Admits(r.Score, r.Depth) && !c.lessImportantWaits(r.Score) && !(c.options.WorkConserving && idle) {
 		return Refuse{Reason: failure.Overload, Backoff: c.RetryAfter()}, Changes{}
@@ -254,6 +265,7 @@
 	displaced, full := c.queue.Push(newItem(now, r))
 	changes := c.startWaiting(now)
 	if full {
+		c.countRefusal(c.waiting[displaced.ID])
 		delete(c.waiting, displaced.ID)
 		if displaced.ID == r.ID {
 			return Refuse{Reason: failure.Overload, Backoff: c.RetryAfter()}, changes
@@ -263,6 +275,12 @@
 	return Wait{}, changes
 }
 
+// shedsChain reports whether an inner call is refused since its root request is no longer
+// admitted. Others then need not wait, and whole runs are lost instead of a call of each.
+func (c *Controller) shedsChain(r Request) bool {
+	return c.options.Shedding && r.inner() && r.RootScore > 0 && cutoff.Crowded(c.queue.Len(), c.limit.Value()) && !c.cutoff.Cutoff().AdmitsStarted(r.RootScore)
+}
+
 func newItem(now time.Time, r Request) queue.Item {
 	return queue.Item{
 		ID:           r.ID,
@@ -389,12 +407,21 @@
 	c.holdEstimate[r.route] = mean + (sample-mean)*holdWeight
 }
 
+// countRefusal counts an inner call that waited in vain.
+func (c *Controller) countRefusal(r Request) {
+	if r.inner() && !r.Again {
+		c.cutoff.RefuseInner(r.rootScore())
+	}
+}
+
 // Cancel removes a request from the queue. It reports whether the request was
 // waiting.
 func (c *Controller) Cancel(id uint64) bool {
-	if _, ok := c.waiting[id]; !ok {
+	r, ok := c.waiting[id]
+	if !ok {
 		return false
 	}
+	c.countRefusal(r)
 	delete(c.waiting, id)
 	return c.queue.Remove(id)
 }
@@ -437,6 +464,19 @@
 	return c.cutoff.Cutoff()
 }
 
+// InnerFraction is the recent fraction of inner calls among the requests offered.
+func (c *Controller) InnerFraction() float64 { return c.cutoff.InnerFraction() }
+
+// SetCallsPerRun sets the number of calls to the target's service that a root request
+// needs.
+func (c *Controller) SetCallsPerRun(n float64) { c.cutoff.SetCallsPerRun(n) }
+
+// Loss is the recent fraction of inner calls that were refused.
+func (c *Controller) Loss() float64 { return c.cutoff.Loss() }
+
+// Adopt takes what the nodes of the service agree on for the next tick.
+func (c *Controller) Adopt(cutoff priority.Cutoff, loss float64) { c.cutoff.Adopt(cutoff, loss) }
+
 // Load is the number of running and waiting requests over the slots that can be in use.
 func (c *Controller) Load(now time.Time) float64 {
 	return float64(len(c.running)+c.queue.Len()) / math.Max(1, float64(c.usableSlots(now)))
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -16,10 +16,12 @@
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/departure"
+	"chestnutshed.example/chestnutshed/internal/fleet/pressure"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/rejection"
 	"chestnutshed.example/chestnutshed/internal/policy/admission"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
+	"chestnutshed.example/chestnutshed/internal/policy/chain"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
 	"chestnutshed.example/chestnutshed/internal/policy/cutoff"
 	"chestnutshed.example/chestnutshed/internal/policy/latency"
@@ -88,6 +90,9 @@
 	retries          *retrybudget.Budget
 	rationing        *rationing.Controller
 	rejections       *rejection.Service
+	pressure         *pressure.Service
+	// runs measures what completed runs of the target call.
+	runs *chain.Meter
 	// rationedAt is when updateRationing last ran. Only its goroutine uses it.
 	rationedAt  time.Time
 	targetCount func(service string) int
@@ -155,6 +160,8 @@
 	Quarantine *quarantine.Service
 	// Rejections knows which services reject calls at their targets.
 	Rejections *rejection.Service
+	// Pressure knows which services are short.
+	Pressure *pressure.Service
 	// ResponseBudget bounds the memory used by large responses.
 	ResponseBudget *httpconn.Budget
 	// OnChange is called when the target changes.
@@ -164,7 +171,7 @@
 // New returns the service for one target.
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
-		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), rationing: rationing.New(), rejections: o.Rejections, targetCount: o.TargetCount, downstream: o.Downstream,
+		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), rationing: rationing.New(), rejections: o.Rejections, pressure: o.Pressure, runs: chain.NewMeter(), targetCount: o.TargetCount, downstream: o.Downstream,
 		startedAt: clock.Now(), backlogged: o.Backlogged, synced: o.Synced, hasLeft: o.HasLeft, departures: o.Departures, health: newHealthCheck(o.Address, o.HealthPath), target: lifecycle.AwaitingHistory(),
 		overload: overload.New(admission.Sidecar()), waiting: map[uint64]chan decision{}, serviceTimes: latency.New(clock.Now()),
 		runningCalls: correlation.New(clock.Now()), crashes: newCrashDetector(o.Address),
@@ -338,6 +345,7 @@
 	parent, ok := s.runningCalls.FindParent(now, child.Route, deadline, rand.Float64())
 	if parent.RouteLikely {
 		s.overload.RecordInnerCall(now, parent.Route, child)
+		s.runs.Call(parent.Serial, chain.Child{Service: child.Service, Route: child.Route})
 	}
 	return parent, ok
 }
@@ -409,7 +417,7 @@
 	}
 	verdict, changes := s.overload.Offer(now, admission.Request{
 		ID: id, Route: c.Route, Score: c.Score, RootScore: c.RootScore, RootCertain: c.RootCertain, Organisation: c.Organisation,
-		Share: 1, Depth: c.Depth, Deadline: deadline,
+		Share: 1, Depth: c.Depth, Deadline: deadline, Again: c.QueueTimeoutMS == 0,
 	}, c.Forced, s.downstreamAt(now))
 	var ch chan decision
 	if _, waits := verdict.(admission.Wait); waits {
@@ -552,7 +560,9 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	resp, err := call.Encode(outcome, s.Load(c))
+	load := s.Load(c)
+	load.Pressure = s.pressure.ResultNote(clock.Now())
+	resp, err := call.Encode(outcome, load)
 	if err != nil {
 		s.log.WithError(err).Error("could not encode an outcome for a peer")
 		return nil
@@ -567,15 +577,46 @@
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
 	k.Every(cutoff.Tick, func(context.Context) {
 		now := clock.Now()
+		s.adoptPressure(now)
 		s.mu.Lock()
 		s.notifyWaiting(s.overload.Tick(now))
 		s.mu.Unlock()
+		s.reportPressure(now)
 		s.updateRationing(now)
 	})
 	k.Every(syncInterval, func(context.Context) { s.applyHistory(clock.Now()) })
 	return nil
 }
 
+// minInner is the fraction of inner calls from which the target counts as part of chains.
+const minInner = 0.05
+
+// adoptPressure tells the admission what the nodes of the target's service agree on.
+func (s *Service) adoptPressure(now time.Time) {
+	service := s.Target().Last.Service
+	agreed, ok := s.pressure.Get(now, service)
+	if !ok {
+		return
+	}
+	calls := s.pressure.MaxCalls(now, service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.overload.Adopt(agreed.Cutoff, agreed.Loss)
+	s.overload.SetCallsPerRun(calls)
+}
+
+// reportPressure tells the other nodes how short the target is, if it is part of chains.
+func (s *Service) reportPressure(now time.Time) {
+	target := s.Target()
+	s.mu.Lock()
+	own := chain.Pressure{Cutoff: s.overload.Cutoff(), Loss: s.overload.Loss()}
+	ok := target.State == lifecycle.Ready && !s.draining && s.overload.InnerFraction() >= minInner
+	s.mu.Unlock()
+	if ok {
+		s.pressure.Measure(now, target.Last.Service, own)
+	}
+}
+
 // updateRationing decides which calls may be retried from what this target and the others
 // of its service reject.
 func (s *Service) updateRationing(now time.Time) {
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -12,6 +12,7 @@
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/roster"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
+	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"github.com/sirupsen/logrus"
@@ -33,8 +34,10 @@
 		s.rejectionsAt = now
 		s.balancer.SetRejecting(s.Rejections.Rejecting(now))
 	}
+	s.updateChains(now)
 	pick, refusal := s.balancer.Choose(now, s.candidates(all), balancer.Call{
 		Route: q.route.Name, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Repeatable: q.route.Idempotent, Tried: tried,
+		RootScore: certainRoot(q.call),
 	})
 	if refusal == nil {
 		s.balancer.Sent(pick.Candidate.ID)
@@ -42,6 +45,23 @@
 	return pick, refusal
 }
 
+// updateChains passes the pressures and profiles to the balancer. The caller holds mu.
+func (s *Service) updateChains(now time.Time) {
+	if now.Sub(s.chainsAt) > chainsInterval {
+		s.chainsAt = now
+		s.balancer.SetChains(s.Pressure.View(now))
+	}
+}
+
+// certainRoot returns the score of the root request of an inner call, 0 if it is not
+// certain.
+func certainRoot(c call.Call) priority.Score {
+	if c.Depth > 1 && c.RootCertain {
+		return c.RootScore
+	}
+	return 0
+}
+
 // candidates converts roster entries to candidates. The result is valid until the
 // next call. The caller holds mu.
 func (s *Service) candidates(list []roster.Serving) []balancer.Candidate {
@@ -93,6 +113,9 @@
 	if err == nil {
 		outcome, load, decodeErr := call.Decode(resp)
 		if decodeErr == nil {
+			if load.Pressure != nil {
+				s.Pressure.Noted(clock.Now(), id, load.Pressure)
+			}
 			s.recordAnswer(id, q, load)
 			s.recordTarget(clock.Now(), to, outcome, load)
 			return outcome
@@ -127,6 +150,7 @@
 	all := s.Roster.Serving(now, service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.updateChains(now)
 	return s.balancer.Downstream(now, s.candidates(all), service, route)
 }
 
