Revert "rationing: admit only requests whose calls are all retried"

In seconds 14 to 20 entries refused three quarters of the requests while one in fifty failed, so that the retries were not the bound. Whether the fall comes from this change alone is not known yet. The test of the reverted behaviour goes with it.

--- a/internal/policy/rationing/rationing.go
+++ b/internal/policy/rationing/rationing.go
@@ -33,6 +33,10 @@
 	// reserved is the fraction of the retry budget that requests at the cutoff and above
 	// leave to more important ones.
 	reserved = 0.75
+	// entryFactor is the demand below the cutoff that entries are told, in multiples of
+	// that below the own cutoff. Some requests complete without retries, and what others
+	// don't use is left to them.
+	entryFactor = 2.0
 	// minObserved bounds observed from below, in seconds.
 	minObserved = 0.1
 	// minFraction is the fraction of rejected attempts from which retries are rationed.
@@ -80,9 +84,9 @@
 	demand priority.Histogram
 	// observed is the decaying time in seconds over which demand was counted.
 	observed float64
-	// cutoff is the highest score of requests that are retried as often as it takes. Only
-	// they are worth admitting at their entry.
-	cutoff priority.Cutoff
+	// cutoff is the highest score of requests that are retried as often as it takes, and
+	// entryCutoff that of requests that are worth admitting at their entry.
+	cutoff, entryCutoff priority.Cutoff
 	// admitted is the part of the demand below the cutoff.
 	admitted float64
 	// rationing is set while the service rejects attempts.
@@ -94,7 +98,7 @@
 }
 
 // New returns a controller of a target that has rejected nothing.
-func New() *Controller { return &Controller{cutoff: priority.AdmitAll} }
+func New() *Controller { return &Controller{cutoff: priority.AdmitAll, entryCutoff: priority.AdmitAll} }
 
 // RecordFirst counts a first attempt by the score of its root request.
 func (c *Controller) RecordFirst(root priority.Score) { c.demand.Add(root, 1) }
@@ -108,9 +112,10 @@
 }
 
 // Allows reports whether a rejected request may be retried, by the score of its root
-// request. The less important that is, the more of the budget must be left. Inner calls of
-// roots below the cutoff are all retried: their entries admit no others, and which root a
-// call belongs to is often a guess here.
+// request. The less important that is, the more of the budget must be left. Requests of
+// the same importance are told apart only if they are inner calls: the other calls that
+// their roots make need retries as well, so that some roots had better get all and others
+// none.
 func (c *Controller) Allows(root priority.Score, inner bool) bool {
 	if !c.rationing {
 		return true
@@ -119,10 +124,7 @@
 		root = priority.Score(root.Class())
 	}
 	position := 1.0
-	switch {
-	case inner && c.cutoff.AdmitsStarted(root):
-		position = 0
-	case c.cutoff.Admits(root, 1):
+	if c.cutoff.Admits(root, 1) {
 		position = min(c.demand.Below(root)/max(c.admitted, 1), 1)
 	}
 	return c.available >= 1+reserved*(c.limit-1)*position
@@ -132,7 +134,7 @@
 func (c *Controller) RecordRetry() { c.available-- }
 
 // Cutoff is the highest score of requests that are worth admitting at their entry.
-func (c *Controller) Cutoff() priority.Cutoff { return c.cutoff }
+func (c *Controller) Cutoff() priority.Cutoff { return c.entryCutoff }
 
 // Measure ends a tick, with the number of retries that the budget has now and what it
 // would have if none had been sent. It returns what the target's node measured.
@@ -157,7 +159,7 @@
 // mean of what the nodes of its targets measured.
 func (c *Controller) Adjust(mean Sample) {
 	fraction := mean.Fraction()
-	c.cutoff = priority.AdmitAll
+	c.cutoff, c.entryCutoff = priority.AdmitAll, priority.AdmitAll
 	if c.rationing = fraction > 0 && mean.Demand > 0; !c.rationing {
 		return
 	}
@@ -165,7 +167,7 @@
 	retries := fraction / (1 - fraction)
 	share := mean.Supply / (retries * mean.Demand * demandFactor)
 	c.admitted = min(share, 1) * c.demand.Total()
-	c.cutoff = c.quantile(share)
+	c.cutoff, c.entryCutoff = c.quantile(share), c.quantile(entryFactor*share)
 }
 
 // quantile returns the cutoff below which a share of the demand lies.
