quota: places over the rate go to the two highest ranks

Cause: an organisation has one line of places. Callers of less important routes with long objectives took it beyond the reach of more important ones.

Returns of lower ranks draw tokens as first requests do.

--- a/internal/fleet/quota/places_test.go
+++ b/internal/fleet/quota/places_test.go
@@ -86,6 +86,34 @@
 	})
 }
 
+// Requests of a lower rank, whose callers can wait for longer, get no place before those of
+// a higher one.
+func TestPlacesByRank(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newNetwork(t, 12)
+		time.Sleep(warmUp)
+		patient := returns.Caller{Organisation: org.Name, Left: 5 * time.Second, Objective: 3 * time.Second}
+		var group sync.WaitGroup
+		placed, end := 0, time.Now().Add(3*time.Second)
+		group.Go(func() {
+			n := w.nodes["n00"]
+			for ; time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+				group.Go(func() {
+					r := quota.Request{Rank: 2, Reach: patient.Reach()}
+					if n.service.TakeFor(context.Background(), time.Now(), &org, r) == quota.Exceeded && n.service.Refuse(time.Now(), &org, r, patient, 0).Place {
+						placed++
+					}
+				})
+			}
+		})
+		p := w.press(8*org.Rate/12, 3*time.Second)
+		group.Wait()
+		is.Equal(placed, 0)
+		is.True(float64(p.taken[returns.WithPlace]) > 0.4*org.Rate*3)
+	})
+}
+
 // A surge over the rate ends. Half a second later nobody is refused any more.
 func TestRateSurgeEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -94,6 +94,8 @@
 	// place and without one.
 	placedReserve   = 0.1
 	unplacedReserve = 0.25
+	// lowestPlacedRank is the lowest rank of requests that get places.
+	lowestPlacedRank = 1
 	// maxReach bounds how far ahead places are given, and maxPlaces how many a node keeps
 	// for callers to come. maxWait bounds the wait that a holder tells.
 	maxReach  = 10 * time.Second
@@ -307,6 +309,10 @@
 	Reach time.Duration
 }
 
+// mayPlace reports whether the request may have a place. Places of less important requests
+// would leave none in the time of more important ones.
+func (r Request) mayPlace() bool { return r.Rank <= lowestPlacedRank }
+
 // Take spends one token of an organisation for a first request of the given rank, 0
 // being the highest. It waits at most drawTimeout for the holder's answer.
 func (s *Service) Take(ctx context.Context, now time.Time, org *rules.Organisation, rank int) Result {
@@ -318,8 +324,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.cacheOf(classOf(org, r))
-	if wait, ok := p.place(now, c.Reach()); ok {
-		return returns.Placed(wait)
+	if r.mayPlace() {
+		if wait, ok := p.place(now, c.Reach()); ok {
+			return returns.Placed(wait)
+		}
 	}
 	if now.Sub(p.shortAt) > shortFor {
 		return returns.Unplaced(c, unknownWait, u)
@@ -328,6 +336,9 @@
 }
 
 func classOf(org *rules.Organisation, r Request) class {
+	if !r.mayPlace() {
+		r.Turn = returns.First
+	}
 	return class{Organisation: org.Name, LowRank: r.Rank > 0, Turn: r.Turn}
 }
 
@@ -339,7 +350,9 @@
 	s.mu.Lock()
 	s.checkLapse(now)
 	p := s.cacheOf(classOf(org, r))
-	p.reach = r.Reach
+	if r.mayPlace() {
+		p.reach = r.Reach
+	}
 	p.CountDemand(now)
 	if p.Spend(now) {
 		if p.Deficit(now, 0) > 0 {
@@ -349,7 +362,9 @@
 		return Taken
 	}
 	if p.Exhausted(now) {
-		p.refused++
+		if r.mayPlace() {
+			p.refused++
+		}
 		s.mu.Unlock()
 		return Exceeded
 	}
