cutoff: no fall by the fraction of refused inner calls

A few inner calls refused at one target lowered the agreed cutoff of the whole service.

The report of a service carries its cutoff only.

--- a/internal/fleet/pressure/pressure.go
+++ b/internal/fleet/pressure/pressure.go
@@ -83,15 +83,6 @@
 	return p, ok
 }
 
-// MaxCalls is the highest number of calls to a service that a run of any route makes.
-func (s *Service) MaxCalls(now time.Time, service string) float64 {
-	most := 0.0
-	for _, needs := range s.View(now).Needs {
-		most = max(most, needs[service])
-	}
-	return most
-}
-
 // Learn records the profile of a route that was measured here.
 func (s *Service) Learn(now time.Time, route string, p chain.Profile) {
 	s.mu.Lock()
@@ -134,12 +125,11 @@
 	Routes   []routeNote   `json:"routes,omitempty"`
 }
 
-// serviceNote is a chain.Pressure. Cutoff is in units of 1/cutoffFactor, Loss of
-// 1/lossFactor, and Age in milliseconds.
+// serviceNote is a chain.Pressure. Cutoff is in units of 1/cutoffFactor, Age in
+// milliseconds.
 type serviceNote struct {
 	Service string `json:"svc"`
 	Cutoff  int64  `json:"cut"`
-	Loss    int64  `json:"lost,omitempty"`
 	Age     int64  `json:"age"`
 }
 
@@ -160,16 +150,15 @@
 
 const (
 	cutoffFactor = 1e5
-	lossFactor   = 1e3
 	callsFactor  = 1e3
 )
 
 // pressure returns the pressure in a note, or an error if a field is out of range.
 func (n serviceNote) pressure(now time.Time) (chain.Pressure, error) {
-	if n.Service == "" || n.Age < 0 || n.Age > maxAge.Milliseconds() || n.Cutoff < 0 || n.Cutoff > int64(float64(priority.AdmitAll)*cutoffFactor) || n.Loss < 0 || n.Loss > lossFactor {
+	if n.Service == "" || n.Age < 0 || n.Age > maxAge.Milliseconds() || n.Cutoff < 0 || n.Cutoff > int64(float64(priority.AdmitAll)*cutoffFactor) {
 		return chain.Pressure{}, fmt.Errorf("pressure of service %q: a field is out of range", n.Service)
 	}
-	return chain.Pressure{Cutoff: priority.Cutoff(n.Cutoff) / cutoffFactor, Loss: float64(n.Loss) / lossFactor, At: now.Add(-time.Duration(n.Age) * time.Millisecond)}, nil
+	return chain.Pressure{Cutoff: priority.Cutoff(n.Cutoff) / cutoffFactor, At: now.Add(-time.Duration(n.Age) * time.Millisecond)}, nil
 }
 
 // profile returns the profile in a note, or an error if a field is out of range.
@@ -191,7 +180,7 @@
 func (s *Service) encode(now, since time.Time) json.RawMessage {
 	var n note
 	for service, p := range s.board.Pressures(now) {
-		n.Services = append(n.Services, serviceNote{service, int64(float64(p.Cutoff) * cutoffFactor), int64(p.Loss * lossFactor), now.Sub(p.At).Milliseconds()})
+		n.Services = append(n.Services, serviceNote{service, int64(float64(p.Cutoff) * cutoffFactor), now.Sub(p.At).Milliseconds()})
 	}
 	slices.SortFunc(n.Services, func(a, b serviceNote) int { return cmp.Compare(a.Cutoff, b.Cutoff) })
 	n.Services = n.Services[:min(len(n.Services), maxServices)]
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -274,7 +274,6 @@
 	displaced, full := c.queue.Push(newItem(now, r))
 	changes := c.startWaiting(now)
 	if full {
-		c.countRefusal(c.waiting[displaced.ID])
 		delete(c.waiting, displaced.ID)
 		if displaced.ID == r.ID {
 			return Refuse{Reason: failure.Overload, Backoff: c.RetryAfter()}, changes
@@ -417,21 +416,12 @@
 	c.holdEstimate[r.route] = mean + (sample-mean)*holdWeight
 }
 
-// countRefusal counts an inner call that waited in vain.
-func (c *Controller) countRefusal(r Request) {
-	if r.inner() && !r.Again {
-		c.cutoff.RefuseInner(r.rootScore())
-	}
-}
-
 // Cancel removes a request from the queue. It reports whether the request was
 // waiting.
 func (c *Controller) Cancel(id uint64) bool {
-	r, ok := c.waiting[id]
-	if !ok {
+	if _, ok := c.waiting[id]; !ok {
 		return false
 	}
-	c.countRefusal(r)
 	delete(c.waiting, id)
 	return c.queue.Remove(id)
 }
@@ -477,15 +467,8 @@
 // InnerFraction is the recent fraction of inner calls among the requests offered.
 func (c *Controller) InnerFraction() float64 { return c.cutoff.InnerFraction() }
 
-// SetCallsPerRun sets the number of calls to the target's service that a root request
-// needs.
-func (c *Controller) SetCallsPerRun(n float64) { c.cutoff.SetCallsPerRun(n) }
-
-// Loss is the recent fraction of inner calls that were refused.
-func (c *Controller) Loss() float64 { return c.cutoff.Loss() }
-
-// Adopt takes what the nodes of the service agree on for the next tick.
-func (c *Controller) Adopt(cutoff priority.Cutoff, loss float64) { c.cutoff.Adopt(cutoff, loss) }
+// Adopt takes the cutoff that the nodes of the service agree on.
+func (c *Controller) Adopt(cutoff priority.Cutoff) { c.cutoff.Adopt(cutoff) }
 
 // Load is the number of running and waiting requests over the slots that can be in use.
 // While the target is cold, it is at least the part of its bound that is in use.
--- a/internal/policy/chain/chain.go
+++ b/internal/policy/chain/chain.go
@@ -22,9 +22,6 @@
 	// one gets newerWeight, and the older one is ignored.
 	sameTime    = 50 * time.Millisecond
 	newerWeight = 0.8
-	// lossWeight is the weight of a node's own loss against that of all nodes of its
-	// service.
-	lossWeight = 0.3
 	// profileTTL is how long a profile is used after a run was last measured, and
 	// outdatedTTL the same for one measured under an earlier configuration.
 	profileTTL  = time.Minute
@@ -40,8 +37,6 @@
 type Pressure struct {
 	// Cutoff is the highest score of root requests that the service has room for.
 	Cutoff priority.Cutoff
-	// Loss is the fraction of inner calls that are refused.
-	Loss float64
 	// At is when a node of the service last measured it.
 	At time.Time
 }
@@ -56,7 +51,6 @@
 		weight = 0.5
 	}
 	p.Cutoff += (other.Cutoff - p.Cutoff) * priority.Cutoff(weight)
-	p.Loss += (other.Loss - p.Loss) * weight
 	if other.At.After(p.At) {
 		p.At = other.At
 	}
@@ -149,11 +143,8 @@
 	if !ok && open {
 		return
 	}
-	if ok {
-		own.Loss = known.Loss + (own.Loss-known.Loss)*lossWeight
-		if open {
-			own.At = known.At
-		}
+	if ok && open {
+		own.At = known.At
 	}
 	b.pressures[service] = own
 }
--- a/internal/policy/cutoff/cutoff.go
+++ b/internal/policy/cutoff/cutoff.go
@@ -44,13 +44,6 @@
 	// maxFall bounds one fall of the cutoff, in doublings of the rank, with the
 	// queue at its setpoint. The bound grows with the square of the queue length.
 	maxFall = 1
-	// lossWindow is the time constant of the fraction of inner calls that are refused.
-	// lossDelay is the time after a fall until its effect on them shows. All falls within it
-	// count from the same cutoff.
-	lossWindow = 150 * time.Millisecond
-	lossDelay  = 400 * time.Millisecond
-	// minLoss is the fraction of refused inner calls from which the cutoff falls.
-	minLoss = 0.02
 	// maxScoreDecay is how fast the highest offered score decays, in scores per
 	// second.
 	maxScoreDecay = 0.01
@@ -85,21 +78,8 @@
 	arrivals []arrival
 	// inner is the fraction of inner calls among the arrivals.
 	inner float64
-	// innerArrivals and innerRefused are the numbers of inner calls that arrived and were
-	// refused since the last tick.
-	innerArrivals, innerRefused int
-	// callsArrived and callsRefused are their decaying sums.
-	callsArrived, callsRefused float64
-	// agreedLoss is the loss on average over the nodes of the service, if adopted is set.
-	agreedLoss float64
-	adopted    bool
-	// fallFrom is the cutoff at the start of the latest fall because of a loss, fallOffered
-	// the work offered then, and sinceFall the time since.
-	fallFrom    priority.Cutoff
-	fallOffered priority.Histogram
-	sinceFall   time.Duration
-	// callsPerRun is the number of calls to the service that a root request needs.
-	callsPerRun float64
+	// innerArrivals is the number of inner calls since the last tick.
+	innerArrivals int
 	// admitted is the moving average of the work offered below the cutoff, in
 	// slots.
 	admitted float64
@@ -117,7 +97,7 @@
 
 // New returns a regulator that admits everything.
 func New() *Regulator {
-	return &Regulator{cutoff: priority.AdmitAll, callsPerRun: 1, sinceFall: lossDelay + 1}
+	return &Regulator{cutoff: priority.AdmitAll}
 }
 
 // Cutoff is the present cutoff.
@@ -126,13 +106,12 @@
 // InnerFraction is the recent fraction of inner calls among the arrivals.
 func (r *Regulator) InnerFraction() float64 { return r.inner }
 
-// Adopt takes the cutoff and the loss that the nodes of the service agree on for the next
-// tick. Inner calls are controlled only by the entries of all nodes together, so that a
-// node which moved its cutoff on its own would move it without end. Requests of callers are
-// controlled here, by what this target has room for.
-func (r *Regulator) Adopt(cutoff priority.Cutoff, loss float64) {
+// Adopt takes the cutoff that the nodes of the service agree on. Inner calls are controlled
+// only by the entries of all nodes together, so that a node which moved its cutoff on its own
+// would move it without end. Requests of callers are controlled here, by what this target has
+// room for.
+func (r *Regulator) Adopt(cutoff priority.Cutoff) {
 	r.cutoff += (cutoff - r.cutoff) * priority.Cutoff(r.inner)
-	r.agreedLoss, r.adopted = loss, true
 }
 
 // Capacity is the throughput of the slots in requests per second, at the present
@@ -162,38 +141,14 @@
 		hold = r.busy / r.released
 	}
 	r.arrivals = append(r.arrivals, arrival{root, hold})
-	if inner && r.cutoff.AdmitsStarted(root) {
+	if inner {
 		r.innerArrivals++
 	}
 }
 
-// RefuseInner counts an inner call that got no slot, by the score of its root request.
-// Calls of roots that are no longer admitted do not count as a loss.
-func (r *Regulator) RefuseInner(root priority.Score) {
-	if r.cutoff.AdmitsStarted(root) {
-		r.innerRefused++
-	}
-}
-
 // Crowded reports whether more items wait than keep all slots in use.
 func Crowded(waiting, slots int) bool { return waiting > queueSetpoint(slots) }
 
-// SetCallsPerRun sets the number of calls to the service that a root request needs, at
-// least 1.
-func (r *Regulator) SetCallsPerRun(n float64) { r.callsPerRun = max(n, 1) }
-
-// Loss is the recent fraction of inner calls that were refused.
-func (r *Regulator) Loss() float64 { return min(r.callsRefused/max(r.callsArrived, 1), 1) }
-
-// sustainable is the fraction of the admitted root requests that the service could complete,
-// if it refuses this fraction of their calls now. Root requests make their calls one after
-// the other and end with the first that is refused, so that far fewer calls are seen than
-// they would need.
-func sustainable(loss, callsPerRun float64) float64 {
-	made := (1 - math.Pow(1-loss, callsPerRun)) / (loss * callsPerRun)
-	return (1 - loss) * made
-}
-
 // Update ends a tick and moves the cutoff.
 func (r *Regulator) Update(s Sample) {
 	if s.Elapsed <= 0 {
@@ -204,7 +159,6 @@
 	r.released = r.released*keep + float64(s.Released)
 	r.busy = r.busy*keep + s.Busy*s.Elapsed.Seconds()
 	r.updateOffered(s.Elapsed, keep)
-	defer func() { r.innerArrivals, r.innerRefused, r.adopted = 0, 0, false }()
 	if r.Capacity() > 0 {
 		r.adjust(s)
 		return
@@ -224,13 +178,6 @@
 func (r *Regulator) adjust(s Sample) {
 	setpoint := queueSetpoint(s.Slots)
 	slots := float64(s.Slots)
-	loss := r.Loss()
-	if r.adopted {
-		loss = r.agreedLoss
-	}
-	if r.sinceFall += s.Elapsed; r.falls(loss) {
-		return
-	}
 	excessWork := float64(s.Waiting-setpoint) * r.busy / r.released / drainTime.Seconds()
 	allowed := min(max(slots-excessWork, minAdmitted*slots), headroom*slots)
 	switch {
@@ -245,19 +192,6 @@
 	}
 }
 
-// falls lowers the cutoff because of a loss. It reports whether the effect is still to
-// show.
-func (r *Regulator) falls(loss float64) bool {
-	if loss > minLoss && r.sinceFall > lossDelay {
-		r.fallFrom, r.fallOffered, r.sinceFall = min(r.cutoff, r.highestOffered()), r.offered, 0
-	}
-	if loss > minLoss {
-		work := r.fallOffered.Below(priority.Score(r.fallFrom)) * sustainable(loss, r.callsPerRun)
-		r.cutoff = min(r.cutoff, r.fallFrom, r.fallOffered.Quantile(work))
-	}
-	return r.sinceFall <= lossDelay
-}
-
 // gain is the fraction of a shortage that one tick makes up. It is lower for
 // inner calls, where a rise shows only after innerDelay.
 func (r *Regulator) gain() float64 {
@@ -289,10 +223,7 @@
 	if n := float64(len(r.arrivals)); n > 0 {
 		r.inner += (float64(r.innerArrivals)/n - r.inner) * (1 - keep)
 	}
-	r.arrivals = r.arrivals[:0]
-	keepLoss := decayFactor(elapsed, lossWindow)
-	r.callsArrived = r.callsArrived*keepLoss + float64(r.innerArrivals)
-	r.callsRefused = r.callsRefused*keepLoss + float64(r.innerRefused)
+	r.arrivals, r.innerArrivals = r.arrivals[:0], 0
 	keepAdmitted := decayFactor(elapsed, admittedWindow)
 	r.admitted = r.admitted*keepAdmitted + below/elapsed.Seconds()*(1-keepAdmitted)
 }
--- a/internal/policy/overload/overload.go
+++ b/internal/policy/overload/overload.go
@@ -142,15 +142,8 @@
 // InnerFraction is the recent fraction of inner calls among the calls offered.
 func (c *Controller) InnerFraction() float64 { return c.admission.InnerFraction() }
 
-// Loss is the recent fraction of inner calls that this node refused.
-func (c *Controller) Loss() float64 { return c.admission.Loss() }
-
-// Adopt takes what the nodes of the service agree on for the next tick.
-func (c *Controller) Adopt(cutoff priority.Cutoff, loss float64) { c.admission.Adopt(cutoff, loss) }
-
-// SetCallsPerRun sets the number of calls to the target's service that a root request
-// needs.
-func (c *Controller) SetCallsPerRun(n float64) { c.admission.SetCallsPerRun(n) }
+// Adopt takes the cutoff that the nodes of the service agree on.
+func (c *Controller) Adopt(cutoff priority.Cutoff) { c.admission.Adopt(cutoff) }
 
 // Downstream lists the cutoffs of the downstream services that calls of a route
 // use, the lowest for each service, and the calls that they make, sorted by name.
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -665,18 +665,16 @@
 	if !ok {
 		return
 	}
-	calls := s.pressure.MaxCalls(now, service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.overload.Adopt(agreed.Cutoff, agreed.Loss)
-	s.overload.SetCallsPerRun(calls)
+	s.overload.Adopt(agreed.Cutoff)
 }
 
 // reportPressure tells the other nodes how short the target is, if it is part of chains.
 func (s *Service) reportPressure(now time.Time) {
 	target := s.Target()
 	s.mu.Lock()
-	own := chain.Pressure{Cutoff: s.overload.Cutoff(), Loss: s.overload.Loss()}
+	own := chain.Pressure{Cutoff: s.overload.Cutoff()}
 	ok := target.State == lifecycle.Ready && !s.draining && s.overload.InnerFraction() >= minInner
 	s.mu.Unlock()
 	if ok {
