--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -492,7 +492,12 @@
 		return
 	}
 	s.drawPending = true
-	time.AfterFunc(wait, func() { s.request(s.now()) })
+	draw := func() { s.request(s.now()) }
+	if wait <= 0 {
+		go draw()
+		return
+	}
+	time.AfterFunc(wait, draw)
 }
 
 // request asks the holder for the tokens that all caches are short of.
