review: one comparison of keys for manifests and rules

Both compared the keys of an organisation in the same two loops; they differ only in how a key is shown. Golden files of check are unchanged.

--- a/internal/operate/review/review.go
+++ b/internal/operate/review/review.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		l.quotas(prev, o)
-		l.keys(prev, o)
+		l.keys(o.Name, prev.Keys, o.Keys, func(digest string) string { return digest[:digestPrefixLen] })
 	}
 }
 
@@ -100,15 +100,16 @@
 	}
 }
 
-func (l *changeList) keys(prev, o manifest.Organisation) {
-	for _, k := range prev.Keys {
-		if !slices.Contains(o.Keys, k) {
-			l.add(Key, o.Name, true, "withdrawn: %s", k[:digestPrefixLen])
+// keys adds the keys that an organisation loses and gets. Short returns what is shown of one.
+func (l *changeList) keys(organisation string, prev, next []string, short func(key string) string) {
+	for _, k := range prev {
+		if !slices.Contains(next, k) {
+			l.add(Key, organisation, true, "withdrawn: %s", short(k))
 		}
 	}
-	for _, k := range o.Keys {
-		if !slices.Contains(prev.Keys, k) {
-			l.add(Key, o.Name, false, "granted: %s", k[:digestPrefixLen])
+	for _, k := range next {
+		if !slices.Contains(prev, k) {
+			l.add(Key, organisation, false, "granted: %s", short(k))
 		}
 	}
 }
--- a/internal/operate/review/rules.go
+++ b/internal/operate/review/rules.go
@@ -133,20 +133,7 @@
 		if prev.HasRank != o.HasRank || prev.Rank != o.Rank {
 			l.add(Importance, o.Name, true, "rank %s -> %s", rank(prev), rank(o))
 		}
-		l.ruleKeys(prev, o)
-	}
-}
-
-func (l *changeList) ruleKeys(prev, o rules.Organisation) {
-	for _, k := range prev.Keys {
-		if !slices.Contains(o.Keys, k) {
-			l.add(Key, o.Name, true, "withdrawn: %s", lint.ShortDigest(k))
-		}
-	}
-	for _, k := range o.Keys {
-		if !slices.Contains(prev.Keys, k) {
-			l.add(Key, o.Name, false, "granted: %s", lint.ShortDigest(k))
-		}
+		l.keys(o.Name, prev.Keys, o.Keys, lint.ShortDigest)
 	}
 }
 
