tests: names of the platform stay in platform/ and in test data

The invalid configuration of the check's test is a file like the others, and the test of statuses names a header of its own. Assertions are as before.

--- a/cmd/chestnutshed/checkmesh_test.go
+++ b/cmd/chestnutshed/checkmesh_test.go
@@ -53,8 +53,7 @@
 }
 
 func TestCheckMeshExitCodes(t *testing.T) {
-	invalid := filepath.Join(t.TempDir(), "invalid.json")
-	is.New(t).NoErr(os.WriteFile(invalid, []byte(`{"version":1,"resources":[{"resource_type":"routes","metadata":{"name":"r"},"spec":{"path_prefix":"x"}}]}`), 0o600))
+	const invalid = "testdata/mesh-invalid.json"
 	for _, test := range []struct {
 		name   string
 		args   []string
--- a/internal/traffic/httpconn/status_test.go
+++ b/internal/traffic/httpconn/status_test.go
@@ -69,14 +69,14 @@
 	for _, code := range []int{-1, 0, 20, 99, 100, 101, 199, 600, 999, 2000} {
 		is := is.New(t)
 		s := serve(t, func(context.Context, *httpconn.Request) *httpconn.Response {
-			return &httpconn.Response{Status: code, Header: http.Header{"Not-Executed": {"1"}}, Body: []byte("ab")}
+			return &httpconn.Response{Status: code, Header: http.Header{"Unrun": {"1"}}, Body: []byte("ab")}
 		})
 		c, in := dial(t, s.Address())
 		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		resp, body := read(t, in)
 		is.Equal(resp.StatusCode, http.StatusBadGateway)
 		is.Equal(body, "")
-		is.Equal(resp.Header.Get("Not-Executed"), "")
+		is.Equal(resp.Header.Get("Unrun"), "")
 		is.True(resp.Close)
 	}
 }
