--- a/cmd/chestnutshed/checkmesh_test.go
+++ b/cmd/chestnutshed/checkmesh_test.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
