roster: after an older copy of the store, one answer is not enough

Cause: the node was stopped 0.1 s after the store came back from an older copy, which had lost the leave and the entries of the nodes. Its next process took the first datagram of any peer plus 50 ms for all that peers know. That peer had just started too. Ruled out: the acknowledgement (the leave was in the store, in the era before), the writing again (the old process ended before it could).

Now a process that starts on a store that may lack something asks each node that the store names, and waits until all have answered and one has run for 3 s; at most one second after the first datagram. Meanwhile the target itself is asked after a second.

The stand-in store counts its eras from 0, as a store that has lost nothing may.

--- a/internal/fleet/era/era.go
+++ b/internal/fleet/era/era.go
@@ -32,6 +32,10 @@
 // After reports whether e is a later era than o. It is false if either is unknown.
 func (e Era) After(o Era) bool { return e.known && o.known && e.number > o.number }
 
+// MayLack reports whether a store in this era may lack what it acknowledged before. Only
+// one whose era is still 0, or that names none, is known not to have come back from a copy.
+func (e Era) MayLack() bool { return e.known && e.number > 0 }
+
 // Differs reports whether e and o are known to be different eras.
 func (e Era) Differs(o Era) bool { return e.known && o.known && e.number != o.number }
 
--- a/internal/fleet/era/era_test.go
+++ b/internal/fleet/era/era_test.go
@@ -29,6 +29,12 @@
 	// false false
 }
 
+func ExampleEra_MayLack() {
+	fmt.Println(era.Era{}.MayLack(), era.At(0).MayLack(), era.At(1).MayLack())
+	// Output:
+	// false false true
+}
+
 // Nodes of a fleet of any size write again within seconds, at a rate that the store bears.
 func ExampleSpread() {
 	for _, nodes := range []int{1, 78, 4800, 1 << 20} {
--- a/internal/fleet/roster/exchange.go
+++ b/internal/fleet/roster/exchange.go
@@ -207,6 +207,7 @@
 	if p.Sent != 0 {
 		answer = s.digestPacket(now)
 		answer.Echo = p.Sent
+		answer.Informed = s.informed(now)
 	}
 	s.reconcile(p, &answer)
 	if p.Sent != 0 || len(answer.Want)+len(answer.Records)+len(answer.Versions) > 0 {
@@ -298,9 +299,7 @@
 	}
 	s.detector.MessageReceived(now, p.From)
 	s.lastContact.Store(now.UnixNano())
-	if s.contacted.IsZero() {
-		s.contacted = now
-	}
+	s.introductions.received(now, p)
 	if p.Echo != 0 {
 		s.detector.RoundTrip(now, now.Sub(time.Unix(0, p.Echo)))
 	}
--- a/internal/fleet/roster/join.go
+++ b/internal/fleet/roster/join.go
@@ -25,6 +25,9 @@
 			scans++
 		}
 		wait := joinInterval
+		if scans == 1 {
+			wait = secondScanDelay
+		}
 		if registered && scans >= 2 && s.hasPeers() {
 			wait = scanInterval/2 + rand.N(scanInterval)
 			for ctx.Err() == nil && !s.IsFirst() {
@@ -81,13 +84,14 @@
 func (s *Service) scan(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
+	began := clock.Now()
 	listed, err := s.directory.List(ctx)
 	if err != nil {
 		return fmt.Errorf("list nodes: %w", err)
 	}
 	now, introduced := clock.Now(), 0
 	records := decodeRecords(listed)
-	s.recordListed(now, len(listed), records)
+	s.recordListed(began, now, len(listed), records)
 	for name := range listed {
 		r := records[name]
 		if r.Datagrams == "" || r.ID == "" {
@@ -124,7 +128,7 @@
 
 // recordListed records how many entries the directory has, and which of their nodes are
 // not known.
-func (s *Service) recordListed(now time.Time, entries int, records map[string]member.Record) {
+func (s *Service) recordListed(began, now time.Time, entries int, records map[string]member.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listed, s.directoryRead = entries, true
@@ -143,6 +147,11 @@
 		}
 		s.unmet[r.Address] = since
 	}
+	others := len(records)
+	if _, ok := records[s.node]; ok {
+		others--
+	}
+	s.introductions.listed(began, others)
 }
 
 // removable reports whether the node of an entry has not been alive for
@@ -157,19 +166,24 @@
 	return ok && known.ID == r.ID && known.Status != member.Alive && now.Sub(s.table.ChangedAt(r.ID)) > removeAfter
 }
 
-// introduce sends this node's record to a node that is not known here. The
-// entry in the directory is no evidence that the node runs; it becomes a member
-// when it answers. It reports false if the node is already known.
+// introduce sends this node's record to a node that is not known here, or whose answer a
+// process that has just started needs. The entry in the directory is no evidence that the
+// node runs; it becomes a member when it answers. It reports false if it sent nothing.
 func (s *Service) introduce(now time.Time, r member.Record) bool {
 	s.mu.Lock()
 	known, ok := s.table.At(r.Address)
-	self := s.table.Self()
-	s.mu.Unlock()
-	if ok && !known.Gone() {
+	self, starting := s.table.Self(), !s.isSynced(now)
+	if ok && !known.Gone() && !starting {
+		s.mu.Unlock()
 		return false
 	}
+	number := now.UnixNano()
+	if starting {
+		number = s.introductions.number(now)
+	}
+	s.mu.Unlock()
 	p := s.digestPacket(now)
-	p.Sent, p.Records, p.ConfigAddress = now.UnixNano(), []member.Record{self}, self.Operators
+	p.Sent, p.Records, p.ConfigAddress = number, []member.Record{self}, self.Operators
 	if err := s.write(r.Datagrams, p); err != nil {
 		s.log.WithError(err).Debug("introduction to a node of the directory not sent")
 	}
--- a/internal/fleet/roster/packet.go
+++ b/internal/fleet/roster/packet.go
@@ -28,6 +28,9 @@
 	Sent int64 `json:"sent,omitempty"`
 	// Echo is the Sent of the probe that this packet answers.
 	Echo int64 `json:"echo,omitempty"`
+	// Informed is set in answers of a process that has run long enough to have heard of
+	// all that the fleet knew before.
+	Informed bool `json:"told,omitempty"`
 	// Version is that of the configuration in force at the sender. Age is the
 	// time since it was confirmed to be the newest, in milliseconds.
 	Version uint64 `json:"cfg,omitempty"`
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -65,6 +65,9 @@
 	// scanInterval.
 	joinInterval = 700 * time.Millisecond
 	scanInterval = 20 * time.Second
+	// secondScanDelay is the time to the second read, since nodes that start together
+	// don't all find each other in the first.
+	secondScanDelay = 200 * time.Millisecond
 	// maxIntroductions limits the unknown nodes contacted per read of the
 	// directory.
 	maxIntroductions = 16
@@ -145,9 +148,8 @@
 	lastTick      time.Time
 	// lastContact is when a datagram last arrived, in nanoseconds by the node's clock.
 	lastContact atomic.Int64
-	// started is when this process started, contacted when it received its
-	// first datagram.
-	started, contacted time.Time
+	// introductions tracks what this process has learned from peers since its start.
+	introductions introductions
 
 	sent, received, bytes atomic.Uint64
 }
@@ -170,7 +172,7 @@
 	self.Started = time.Now().UnixNano()
 	return &Service{
 		node: o.Node, directory: d, config: config, log: log, conn: conn, eras: o.Eras, topics: map[string]Topic{},
-		table: member.New(now, self), detector: liveness.New(now), lastTick: now, started: now,
+		table: member.New(now, self), detector: liveness.New(now), lastTick: now, introductions: newIntroductions(now),
 		serving: map[string][]Serving{}, unmet: map[string]time.Time{},
 	}, nil
 }
@@ -194,22 +196,25 @@
 	s.broadcast(now, []member.Record{r}, "")
 }
 
-const (
-	// syncDelay is how long after the first datagram the answer to this node's
-	// own record has arrived: a round trip between regions. syncTimeout is how
-	// long a node waits for that datagram. Peers probe each address several
-	// times a second.
-	syncDelay   = 50 * time.Millisecond
-	syncTimeout = time.Second
-)
-
 // Synced reports whether this process has had time to receive what peers know
 // of earlier incarnations of the node.
 func (s *Service) Synced(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	contacted := !s.contacted.IsZero() && now.Sub(s.contacted) >= syncDelay
-	return contacted || now.Sub(s.started) >= syncTimeout
+	return s.isSynced(now)
+}
+
+// isSynced is Synced. The mutex must be held.
+func (s *Service) isSynced(now time.Time) bool {
+	return s.introductions.done(now, !s.eras.Current().MayLack())
+}
+
+// informed reports whether this process has run long enough to have heard of all that the
+// fleet knew before.
+func (s *Service) informed(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.introductions.started) >= informedAfter
 }
 
 // TargetLeft reports whether the target has announced that it leaves, to this
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -265,9 +265,12 @@
 // known only after its announcement was applied.
 func (s *Service) applyHistory(now time.Time) {
 	target := s.Target()
-	if target.AwaitsHistory() && s.synced(now) {
+	switch {
+	case target.AwaitsHistory() && s.synced(now):
 		s.learnHistory(now, target)
 		return
+	case target.AwaitsHistory():
+		s.confirm(now, target)
 	}
 	if now.Sub(s.startedAt) <= syncWindow && target.State == lifecycle.Ready && s.hasLeft(target.Last.ID, target.Last.Born) {
 		s.update(now, func(t lifecycle.Target) (lifecycle.Target, bool) {
