--- a/internal/config/confsync/confsync.go
+++ b/internal/config/confsync/confsync.go
@@ -13,13 +13,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/config/rules"
+	"chestnutshed.example/chestnutshed/internal/core/backoff"
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/core/ring"
@@ -120,13 +120,11 @@
 	ready     chan struct{}
 	calls     atomic.Uint64
 
-	mu        sync.Mutex
-	fleet     Fleet
-	revision  uint64
-	era       era.Era // of revision
-	storeLost bool
-	backoff   time.Duration
-	retryAt   time.Time
+	mu       sync.Mutex
+	fleet    Fleet
+	revision uint64
+	era      era.Era // of revision
+	backoff  backoff.Backoff
 }
 
 // New returns a service without a configuration. MaxAge is the maximum age of a
@@ -136,7 +134,7 @@
 	return &Service{
 		source: source, maxAge: maxAge, log: log, fetchQueue: ring.New[string](fetchQueueSize),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}},
-		ready:  make(chan struct{}),
+		ready:  make(chan struct{}), backoff: backoff.New(minBackoff, maxBackoff),
 	}
 }
 
@@ -262,9 +260,9 @@
 // and the others take over when the confirmations from peers get too old.
 func (s *Service) due(now time.Time) bool {
 	s.mu.Lock()
-	retryAt, fleet := s.retryAt, s.fleet
+	fleet, waits := s.fleet, !s.backoff.Due(now)
 	s.mu.Unlock()
-	if now.Before(retryAt) {
+	if waits {
 		return false
 	}
 	if s.Get() == nil {
@@ -334,18 +332,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil {
-		if s.storeLost {
+		if s.backoff.Failing() {
 			s.log.WithField("age_ms", s.Age(now).Milliseconds()).Info("store reachable again")
 		}
-		s.storeLost, s.backoff = false, 0
+		s.backoff = s.backoff.WithSuccess()
 		return
 	}
-	if !s.storeLost {
+	if !s.backoff.Failing() {
 		s.log.WithError(err).WithField("age_ms", s.Age(now).Milliseconds()).Warn("store request failed")
 	}
-	s.storeLost = true
-	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
-	s.retryAt = now.Add(s.backoff/2 + rand.N(s.backoff))
+	s.backoff = s.backoff.WithFailure(now)
 }
 
 // fetchLoop fetches newer versions from the peers that reported them, the latest
@@ -414,5 +410,5 @@
 		Age     int64  `json:"age_ms"`
 		Lost    bool   `json:"store_lost"`
 		Calls   uint64 `json:"store_calls"`
-	}{s.Version(), s.Age(clock.Now()).Milliseconds(), s.storeLost, s.calls.Load()}
+	}{s.Version(), s.Age(clock.Now()).Milliseconds(), s.backoff.Failing(), s.calls.Load()}
 }
--- a/internal/fleet/evacuation/evacuation.go
+++ b/internal/fleet/evacuation/evacuation.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"chestnutshed.example/chestnutshed/internal/core/backoff"
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/era"
@@ -156,16 +157,14 @@
 	confirmedAt time.Time
 	// relist is set when the next call lists all zones.
 	relist  bool
-	backoff time.Duration
-	retryAt time.Time
-	lost    bool
+	backoff backoff.Backoff
 }
 
 // New returns the service of a node in a zone, whose process starts now. Bound is the
 // time within which an evacuation must be in force, 0 for none. Eras has the era of each
 // answer of the source before the source returns it.
 func New(now time.Time, zone string, bound time.Duration, source Source, fleet Fleet, eras *era.Tracker, log *logrus.Entry) *Service {
-	s := &Service{source: source, bound: bound, zone: zone, fleet: fleet, eras: eras, started: now, log: log, relist: true}
+	s := &Service{source: source, bound: bound, zone: zone, fleet: fleet, eras: eras, started: now, log: log, relist: true, backoff: backoff.New(minBackoff, maxBackoff)}
 	s.current.Store(&closed{})
 	return s
 }
@@ -306,7 +305,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case now.Before(s.retryAt):
+	case !s.backoff.Due(now):
 		return false
 	case s.current.Load().view.Revision == 0:
 		return true
@@ -385,18 +384,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil {
-		if s.lost {
+		if s.backoff.Failing() {
 			s.log.Info("store tells evacuations again")
 		}
-		s.lost, s.backoff = false, 0
+		s.backoff = s.backoff.WithSuccess()
 		return
 	}
-	if !s.lost {
+	if !s.backoff.Failing() {
 		s.log.WithError(err).Warn("store does not tell evacuations")
 	}
-	s.lost, s.relist = true, true
-	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
-	s.retryAt = now.Add(s.backoff/2 + rand.N(s.backoff))
+	s.relist = true
+	s.backoff = s.backoff.WithFailure(now)
 }
 
 // note is a View between nodes. Age is the time since it was the newest, in milliseconds.
@@ -492,7 +490,7 @@
 		Age     int64    `json:"age_ms"`
 		Lost    bool     `json:"store_lost"`
 		Calls   uint64   `json:"store_calls"`
-	}{View: c.view, OwnZone: s.OwnZone(now).String(), Lost: s.lost, Calls: s.calls.Load()}
+	}{View: c.view, OwnZone: s.OwnZone(now).String(), Lost: s.backoff.Failing(), Calls: s.calls.Load()}
 	if c.view.Revision > 0 {
 		state.Age = now.Sub(s.confirmedAt).Milliseconds()
 	}
