--- a/internal/config/confsync/confsync.go
+++ b/internal/config/confsync/confsync.go
@@ -217,6 +217,9 @@
 		"version": set.Version, "was": active, "from": from, "age_ms": s.Age(clock.Now()).Milliseconds(),
 		"routes": len(set.Routes), "organisations": len(set.Organisations),
 	}).Info("new configuration version active")
+	if len(set.Notes) > 0 {
+		s.log.WithFields(logrus.Fields{"version": set.Version, "notes": set.Notes}).Warn("configuration not understood in part")
+	}
 	if fleet != nil {
 		fleet.BroadcastVersion()
 	}
--- a/internal/config/rules/rules.go
+++ b/internal/config/rules/rules.go
@@ -119,6 +119,8 @@
 	Services      []Service
 	Organisations []Organisation
 	Limits        Limits
+	// Notes say what in the configuration nodes did not understand.
+	Notes []string
 
 	routesByHost  map[string][]*Route
 	orgByKey      map[string]*Organisation
@@ -158,6 +160,13 @@
 	return s, nil
 }
 
+// WithNotes returns a copy with other notes.
+func (s *Set) WithNotes(notes []string) *Set {
+	set := *s
+	set.Notes = notes
+	return &set
+}
+
 // Validate returns an error that lists every invalid field, or nil.
 func (s *Set) Validate() error {
 	var errs []error
