--- a/internal/policy/intake/intake_test.go
+++ b/internal/policy/intake/intake_test.go
@@ -1,8 +1,8 @@
 package intake_test
 
 import (
-	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -65,7 +65,6 @@
 type body struct {
 	load       int
 	at, ends   time.Time
-	id         uint64
 	isAdmitted bool
 }
 
@@ -90,23 +89,21 @@
 		}
 	}
 	for now := start; now.Before(start.Add(lasts)); now = now.Add(tick) {
-		for _, b := range slices.SortedFunc(func(yield func(*body) bool) {
-			for _, b := range bodies {
-				if !yield(b) {
-					return
-				}
+		for _, id := range slices.Sorted(maps.Keys(bodies)) {
+			b, ok := bodies[id]
+			if !ok {
+				continue // refused meanwhile
 			}
-		}, func(a, b *body) int { return cmp.Compare(a.id, b.id) }) {
 			switch {
 			case b.isAdmitted && !now.Before(b.ends):
-				delete(bodies, b.id)
+				delete(bodies, id)
 				held -= loads[b.load].size
 				if decides {
-					apply(now, c.Release(now, b.id))
+					apply(now, c.Release(now, id))
 				}
 			case !b.isAdmitted && now.Sub(b.at) >= waiting:
-				if _, changes, waited := c.Cancel(now, b.id); waited {
-					delete(bodies, b.id)
+				if _, changes, waited := c.Cancel(now, id); waited {
+					delete(bodies, id)
 					apply(now, changes)
 				}
 			}
@@ -115,7 +112,7 @@
 			for due[i] += l.perSecond * tick.Seconds(); due[i] >= 1; due[i]-- {
 				last++
 				got[i].offered++
-				b := &body{load: i, at: now, id: last}
+				b := &body{load: i, at: now}
 				if !decides {
 					if held+l.size <= bound {
 						bodies[last] = b
