Request bodies are admitted before they are read

Now the server asks for room once the headers are in. All bodies count, those with a length at once. A refusal is sent before the body is read; the body is dropped behind it, so that the connection stays usable. Bodies of requests without a route or key are not read if they are large. The return time is that of other refusals, not before room is expected.

The bound follows the largest body of the configuration, so that it is lower than before where bodies are small. The setting bodies replaces it.

Ruled out: closing the connection with the refusal, since a reset may destroy it; one bound for callers and peers, since full nodes would refuse each other's calls.

A rejection now always lingers: whether it did depended on which goroutine came first.

--- a/internal/config/settings/mesh.go
+++ b/internal/config/settings/mesh.go
@@ -21,6 +21,9 @@
 	defaultInnerZonePrice     = 0.5
 )
 
+// maxBodiesDivisor divides the memory to give the most for bodies of callers and of peers each.
+const maxBodiesDivisor = 3
+
 // Seconds is a duration in seconds, with fractions.
 type Seconds float64
 
@@ -82,6 +85,9 @@
 	Service string `json:"service"`
 	// Memory is the memory limit of the process, in megabytes; 0 is no limit.
 	Memory int `json:"memory"`
+	// Bodies is the memory that request bodies of callers, and again those of peers, may
+	// take, in megabytes; 0 is a quarter of Memory, or more where the largest body needs it.
+	Bodies int `json:"bodies,omitempty"`
 	// Files is the maximum number of open file descriptors; 0 is no limit.
 	Files int `json:"files"`
 	// Target, Callers, Peers, Ready, Announcements, Datagrams and Operators
@@ -171,8 +177,11 @@
 			add(f.name, "must be IP:port, got %q", f.value)
 		}
 	}
-	if m.Grace < 0 || m.RevokeDelay < 0 || m.Memory < 0 || m.Files < 0 {
-		add("grace, revoke, memory, files", "must not be negative")
+	if m.Grace < 0 || m.RevokeDelay < 0 || m.Memory < 0 || m.Files < 0 || m.Bodies < 0 {
+		add("grace, revoke, memory, files, bodies", "must not be negative")
+	}
+	if m.Memory > 0 && m.Bodies > m.Memory/maxBodiesDivisor {
+		add("bodies", "must be at most %d, a third of the memory: callers and peers take it each", m.Memory/maxBodiesDivisor)
 	}
 	for _, f := range []struct {
 		name  string
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -82,3 +82,14 @@
 	err := m.Defaults().Validate()
 	is.True(err != nil && strings.Contains(err.Error(), "zones.inner"))
 }
+
+// Bodies of callers and of peers each take their room, so that both must fit beside the rest.
+func TestBodiesWithinMemory(t *testing.T) {
+	for _, test := range []struct {
+		memory, bodies int
+		valid          bool
+	}{{184, 0, true}, {184, 61, true}, {184, 62, false}, {0, 500, true}, {184, -1, false}} {
+		err := settings.Mesh{Memory: test.memory, Bodies: test.bodies}.Defaults().Validate()
+		is.New(t).Equal(!strings.Contains(err.Error(), "bodies: "), test.valid)
+	}
+}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -28,9 +28,11 @@
 	"chestnutshed.example/chestnutshed/internal/fleet/roster"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
 	"chestnutshed.example/chestnutshed/internal/policy/coldstart"
+	"chestnutshed.example/chestnutshed/internal/policy/intake"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
 	"chestnutshed.example/chestnutshed/internal/policy/retrybudget"
 	"chestnutshed.example/chestnutshed/internal/policy/spill"
+	"chestnutshed.example/chestnutshed/internal/traffic/bodies"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"chestnutshed.example/chestnutshed/internal/traffic/inbound"
@@ -67,11 +69,12 @@
 	// the greatest size.
 	responseDivisor   = 8
 	minResponseBudget = 33 << 20
-	// Large bodies of callers' requests, and of peers', may each take
-	// 1/requestDivisor of the memory limit. minRequestBudget, in bytes, has room
-	// for a body of the greatest size while its buffer grows.
-	requestDivisor   = 4
-	minRequestBudget = 69 << 20
+	// Bodies of callers' requests, and of peers', may each take 1/bodyDivisor of the
+	// memory limit. If that is less than the largest body and growRoom, in bytes, for its
+	// buffer while it grows, they may take so much, up to maxBodyFloor.
+	bodyDivisor  = 4
+	growRoom     = 5 << 20
+	maxBodyFloor = 69 << 20
 	// New requests are refused while responses that wait for slow readers take
 	// 1/unwrittenDivisor of the memory limit, or minUnwritten, in bytes, if that is more.
 	unwrittenDivisor = 8
@@ -190,11 +193,14 @@
 	return max(int64(s.Memory)<<20/responseDivisor, minResponseBudget)
 }
 
-// requestBudget returns how much memory large request bodies may take on each of the
-// listeners for callers and peers, in bytes. With one budget for both, nodes whose callers
-// have used it up would refuse each other's calls.
-func requestBudget(s settings.Mesh) int64 {
-	return max(int64(s.Memory)<<20/requestDivisor, minRequestBudget)
+// bodyBound returns how much memory request bodies may take on each of the listeners for
+// callers and peers, in bytes. With one bound for both, nodes whose callers have used it up
+// would refuse each other's calls.
+func (n *Node) bodyBound() int64 {
+	if n.settings.Bodies > 0 {
+		return int64(n.settings.Bodies) << 20
+	}
+	return max(int64(n.settings.Memory)<<20/bodyDivisor, min(n.limits().Body+growRoom, maxBodyFloor))
 }
 
 // backlogged reports whether the responses that wait for slow readers take too much
@@ -283,13 +289,17 @@
 	if n.peers, err = httpconn.Listen(n.settings.Peers, n.peerLimits, n.inbound.Handle); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	gate := func(name string, describe func(time.Time, *httpconn.Request) (intake.Body, bool)) *bodies.Gate {
+		return bodies.New(bodies.Options{Name: name, Bound: n.bodyBound, Describe: describe, Metrics: n.metricSet, Log: n.logger("bodies")})
+	}
+	callers, peers := gate("callers", n.relay.DescribeBody), gate("peers", n.inbound.DescribeBody)
+	n.callers.Intake, n.peers.Intake = callers, peers
 	for _, server := range []*httpconn.Server{n.callers, n.peers} {
 		server.OnError = func(err error) { n.log.WithError(err).WithField("address", server.Address()).Warn("accept failed") }
 		server.OnPanic = n.recordPanic
-		server.Budget = httpconn.NewBudget(requestBudget(n.settings))
 	}
 	n.metricSet.NewGauge("unwritten_bytes", func() float64 { return float64(n.callers.Unwritten() + n.peers.Unwritten()) })
-	n.metricSet.NewGauge("request_body_bytes", func() float64 { return float64(n.callers.Budget.Used() + n.peers.Budget.Used()) })
+	n.metricSet.NewGauge("request_body_bytes", func() float64 { return float64(callers.Held() + peers.Held()) })
 	n.registerHTTP(n.settings.Ready, adapter.Ready(n.isReady))
 	n.registerHTTP(n.settings.Announcements, adapter.Announcements(n.inbound, n.settings.Target, clock.Now, n.logger("announcements")))
 	n.registerHTTP(n.settings.Operators, n.operators())
--- a/internal/policy/returns/returns.go
+++ b/internal/policy/returns/returns.go
@@ -162,20 +162,34 @@
 func (b *Book) Claim(now time.Time, c Caller) Turn {
 	of := flow{c.Organisation, c.Route}
 	list := b.pruned(now, of)
-	defer func() { b.store(of, list) }()
+	i, turn := find(list, now, c)
+	if i >= 0 {
+		list = slices.Delete(list, i, i+1)
+	}
+	b.store(of, list)
+	return turn
+}
+
+// Expects reports whether a request is a return with a place, which it keeps.
+func (b *Book) Expects(now time.Time, c Caller) bool {
+	_, turn := find(b.expected[flow{c.Organisation, c.Route}], now, c)
+	return turn == WithPlace
+}
+
+// find returns the index of the refusal that a request returns from, or -1.
+func find(list []expected, now time.Time, c Caller) (int, Turn) {
 	for i, e := range list {
 		off := now.Add(c.Left).Sub(e.deadline)
 		early, late := e.due.Sub(now), now.Sub(e.due)
 		if off.Abs() > deadlineTolerance || early > earlyTolerance || late > lateTolerance {
 			continue
 		}
-		list = slices.Delete(list, i, i+1)
 		if e.place {
-			return WithPlace
+			return i, WithPlace
 		}
-		return WithoutPlace
+		return i, WithoutPlace
 	}
-	return First
+	return -1, First
 }
 
 func (b *Book) store(of flow, list []expected) {
--- a/internal/policy/returns/returns_test.go
+++ b/internal/policy/returns/returns_test.go
@@ -46,6 +46,7 @@
 			b.Tell(start, c, returns.Told{After: after, Place: test.place})
 			again := c
 			again.Left = test.left
+			is.Equal(b.Expects(start.Add(test.back), again), test.turn == returns.WithPlace)
 			is.Equal(b.Claim(start.Add(test.back), again), test.turn)
 			is.Equal(b.Claim(start.Add(test.back), again), returns.First) // used up
 		})
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -223,11 +223,19 @@
 
 // Take decodes the call in the headers of a request and removes it from them.
 func Take(h http.Header) (Call, error) {
+	c, err := Peek(h)
+	if err == nil {
+		h.Del(callHeader)
+	}
+	return c, err
+}
+
+// Peek decodes the call in the headers of a request.
+func Peek(h http.Header) (Call, error) {
 	var t encodedCall
 	if err := json.Unmarshal([]byte(h.Get(callHeader)), &t); err != nil {
 		return t.Call, fmt.Errorf("decode call: %w", err)
 	}
-	h.Del(callHeader)
 	t.Call.Score, t.Call.RootScore = priority.Score(t.Score)/scoreFactor, priority.Score(t.RootScore)/scoreFactor
 	t.Call.RetryFraction = float64(t.RetryFraction) / fractionFactor
 	return t.Call, nil
--- a/internal/traffic/httpconn/budget.go
+++ b/internal/traffic/httpconn/budget.go
@@ -2,13 +2,12 @@
 
 import "sync"
 
-// exemptBody is the number of bytes of each body that do not count against the budget, so
-// that small bodies succeed while endless ones exhaust it.
+// exemptBody is the number of bytes of each response body that do not count against the
+// budget, so that small bodies succeed while endless ones exhaust it.
 const exemptBody = 64 << 10
 
-// Budget bounds the memory of large bodies: of responses while they are read, summed over
-// all pools that share it, and of requests until their responses are written. A nil Budget
-// is unlimited.
+// Budget bounds the memory of large response bodies while they are read, summed over all
+// pools that share it. A nil Budget is unlimited.
 type Budget struct {
 	mu    sync.Mutex
 	bytes int64
@@ -114,18 +113,6 @@
 	return s.held > size
 }
 
-// giveBack gives some of the acquired bytes back.
-func (s *share) giveBack(bytes int64) {
-	if s.budget == nil {
-		return
-	}
-	s.budget.mu.Lock()
-	defer s.budget.mu.Unlock()
-	s.budget.free += bytes
-	s.held -= bytes
-	s.budget.released.Broadcast()
-}
-
 // release gives the acquired bytes back. A nil share has none.
 func (s *share) release() {
 	if s == nil || s.budget == nil {
--- a/internal/traffic/httpconn/message.go
+++ b/internal/traffic/httpconn/message.go
@@ -27,12 +27,11 @@
 	Body   []byte
 	// Received is when the server had read the headers, by clock.Now.
 	Received time.Time
-	// Discarded is set when the server's budget had too little room for the body. The body
-	// was read and dropped.
-	Discarded bool
+	// NoRoom is set when the server had no room for the body, which was not read then.
+	NoRoom *NoRoom
 
-	// memory is what the body takes from the server's budget.
-	memory *share
+	// room is the memory for the body.
+	room Room
 }
 
 // Path is the request target without its query.
@@ -41,10 +40,10 @@
 	return path
 }
 
-// release gives the memory of the body back to the server's budget. A nil request has none.
+// release gives the memory of the body back. A nil request has none.
 func (r *Request) release() {
-	if r != nil {
-		r.memory.release()
+	if r != nil && r.room != nil {
+		r.room.Release()
 	}
 }
 
@@ -62,12 +61,12 @@
 // response body that exceeds the budget.
 var errTooLarge = errors.New("message exceeds its size limit")
 
-// errBudgetUsed is returned for a request body that exceeds the budget.
-var errBudgetUsed = errors.New("memory for large bodies is used up")
+// errNoRoom is returned for a request body that can't grow any more.
+var errNoRoom = errors.New("no room for the body")
 
 const (
-	// firstBuffer is the size of the first buffer for a body of unknown length, in bytes.
-	firstBuffer = 4 << 10
+	// FirstBuffer is the size of the first buffer for a body of unknown length, in bytes.
+	FirstBuffer = 4 << 10
 	// The buffer of a large request body of unknown length grows by growthFactor. From
 	// largestStep, in bytes, it grows to the limit.
 	growthFactor = 4
@@ -123,7 +122,7 @@
 	var bufs [][]byte
 	total := int64(0)
 	for {
-		size := min(max(total, firstBuffer), exemptBody, limit+1-total)
+		size := min(max(total, FirstBuffer), exemptBody, limit+1-total)
 		if total >= exemptBody && !taken.acquire(size) {
 			return nil, errTooLarge
 		}
@@ -144,16 +143,13 @@
 }
 
 // readRequestBody reads the whole body of a request, of at most limit bytes, into one
-// buffer. The length is -1 if unknown. Buffers of more than exemptBody are taken from the
-// budget first, and stay in the share. The error is errBudgetUsed when the budget has too
-// little room.
-func readRequestBody(body io.Reader, length, limit int64, taken *share) ([]byte, error) {
-	if length > limit {
-		return nil, errTooLarge
-	}
-	size := int64(firstBuffer)
+// buffer. The length is -1 if unknown; the room then grows with the buffer, and the error is
+// errNoRoom when it can't.
+func readRequestBody(body io.Reader, length, limit int64, room Room) ([]byte, error) {
+	size := int64(FirstBuffer)
 	if length >= 0 {
 		size = min(length, exemptBody)
+		room = nil // it was admitted with its length
 	}
 	data := make([]byte, 0, size)
 	for {
@@ -164,13 +160,13 @@
 		case total > limit:
 			return nil, errTooLarge
 		case total == length, errors.Is(err, io.EOF) && length < 0:
-			return shrink(data, taken), nil
+			return shrink(data, room), nil
 		case errors.Is(err, io.EOF):
 			return nil, fmt.Errorf("read body: %w", io.ErrUnexpectedEOF)
 		case err != nil:
 			return nil, fmt.Errorf("read body: %w", err)
 		}
-		if data, err = grow(data, nextSize(total, length, limit), taken); err != nil {
+		if data, err = grow(data, nextSize(total, length, limit), room); err != nil {
 			return nil, err
 		}
 	}
@@ -199,25 +195,29 @@
 	return min(size*growthFactor, limit+1)
 }
 
-// grow moves data to a buffer of another size, whose memory it takes from the budget.
-func grow(data []byte, size int64, taken *share) ([]byte, error) {
-	if size > exemptBody && !taken.acquire(size) {
-		return nil, errBudgetUsed
+// grow moves data to a buffer of another size. Large ones both need room meanwhile.
+func grow(data []byte, size int64, room Room) ([]byte, error) {
+	needed := size
+	if size > exemptBody {
+		needed += int64(cap(data))
+	}
+	if room != nil && !room.Resize(needed) {
+		return nil, errNoRoom
 	}
 	moved := make([]byte, len(data), size)
 	copy(moved, data)
-	if before := int64(cap(data)); before > exemptBody {
-		taken.giveBack(before)
+	if room != nil && needed > size {
+		room.Resize(size)
 	}
 	return moved, nil
 }
 
 // shrink moves data to a smaller buffer if most of its buffer is empty.
-func shrink(data []byte, taken *share) []byte {
+func shrink(data []byte, room Room) []byte {
 	if cap(data) <= exemptBody || len(data) > cap(data)/2 {
 		return data
 	}
-	moved, err := grow(data, int64(len(data)), taken)
+	moved, err := grow(data, int64(len(data)), room)
 	if err != nil {
 		return data
 	}
--- a/internal/traffic/httpconn/server.go
+++ b/internal/traffic/httpconn/server.go
@@ -42,6 +42,28 @@
 // context is cancelled when the caller disconnects.
 type Handler func(ctx context.Context, r *Request) *Response
 
+// Intake decides which request bodies a server reads.
+type Intake interface {
+	// Admit returns the room for the body of a request whose headers were read, or why there
+	// is none. It may wait. The length is -1 if unknown; the room is then for FirstBuffer
+	// bytes.
+	Admit(ctx context.Context, r *Request, length int64) (Room, *NoRoom)
+}
+
+// Room is the memory for one body, until its response is written.
+type Room interface {
+	// Resize changes the number of bytes. It reports false if there is no room for more.
+	Resize(bytes int64) bool
+	Release()
+}
+
+// NoRoom says why a body was not read.
+type NoRoom struct {
+	// After is when room is expected. Never is set if the body is too large for the server.
+	After time.Duration
+	Never bool
+}
+
 // Limits bound what callers may send. Header and Body are in bytes.
 type Limits struct {
 	Header int
@@ -68,9 +90,8 @@
 	// request is then answered with 502, since it may have run. Nil ignores it. Set it
 	// before Serve.
 	OnPanic func(value any, stack []byte)
-	// Budget bounds the memory of large request bodies until their responses are written.
-	// Nil is unlimited. Set it before Serve.
-	Budget *Budget
+	// Intake decides which request bodies are read. Nil reads all. Set it before Serve.
+	Intake Intake
 
 	mu       sync.Mutex
 	conns    map[*serverConn]struct{}
@@ -280,10 +301,11 @@
 	last := make(chan struct{})
 	close(last)
 	for {
-		req, rejection, err := c.readRequest(ctx)
-		if rejection == nil && err != nil {
+		next, err := c.readRequest(ctx)
+		if err != nil {
 			break
 		}
+		req := next.request
 		c.mu.Lock()
 		if c.closing {
 			c.mu.Unlock()
@@ -302,9 +324,21 @@
 			defer close(done)
 			defer c.server.inFlight.Add(-1)
 			defer req.release()
-			c.respond(ctx, req, rejection, previous, cancel)
+			c.respond(ctx, next, previous, cancel)
 		})
-		if rejection != nil {
+		if next.last {
+			c.setClosing()
+			break
+		}
+		if next.unread == nil {
+			continue
+		}
+		// The refusal is on its way. Reading on keeps the connection usable, and a reset
+		// could destroy the refusal.
+		if err = discard(next.unread, next.limit); errors.Is(err, errTooLarge) {
+			c.setClosing()
+		}
+		if err != nil {
 			break
 		}
 	}
@@ -317,19 +351,41 @@
 	responses.Wait()
 }
 
+// setClosing makes the response to the last request read the last one on the connection.
+func (c *serverConn) setClosing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+}
+
 func (c *serverConn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closing
 }
 
-// readRequest reads one request. For one that is malformed or exceeds a limit, it returns
-// the error response too.
-func (c *serverConn) readRequest(ctx context.Context) (*Request, *Response, error) {
+// incoming is a request that was read, or the rejection of one.
+type incoming struct {
+	request *Request
+	// rejection is the response to a request that is malformed or exceeds a limit.
+	rejection *Response
+	// last is set if no further request can be read from the connection.
+	last bool
+	// unread is the rest of a body without room, of at most limit bytes.
+	unread io.Reader
+	limit  int64
+}
+
+func rejected(r *Request, resp *Response) incoming {
+	return incoming{request: r, rejection: resp, last: true}
+}
+
+// readRequest reads one request. The error means that the connection ended.
+func (c *serverConn) readRequest(ctx context.Context) (incoming, error) {
 	select {
 	case c.slots <- struct{}{}:
 	case <-ctx.Done():
-		return nil, nil, ctx.Err()
+		return incoming{}, ctx.Err()
 	}
 	limits := c.server.limits()
 	c.limit.N = int64(limits.Header)
@@ -338,37 +394,55 @@
 		if _, err := c.in.Peek(1); err == nil {
 			break
 		} else if !c.keepWaiting(err, limits) {
-			return nil, nil, fmt.Errorf("wait for request: %w", err)
+			return incoming{}, fmt.Errorf("wait for request: %w", err)
 		}
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	req, err := http.ReadRequest(c.in)
 	if err != nil {
-		return nil, c.rejectHeader(err), err
+		if resp := c.rejectHeader(err); resp != nil {
+			return rejected(nil, resp), nil
+		}
+		return incoming{}, fmt.Errorf("read headers: %w", err)
 	}
 	r := &Request{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Received: clock.Now()}
 	if req.Body == http.NoBody || req.ContentLength == 0 {
-		return r, nil, nil
+		return incoming{request: r}, nil
 	}
 	c.limit.N = unlimited
-	if req.Header.Get("Expect") != "" {
-		c.sendContinue()
+	return c.readBody(ctx, r, req, limits.Body)
+}
+
+// readBody reads the body of a request, if there is room for it.
+func (c *serverConn) readBody(ctx context.Context, r *Request, req *http.Request, limit int64) (incoming, error) {
+	expects := req.Header.Get("Expect") != ""
+	if req.ContentLength > limit {
+		return rejected(r, &Response{Status: http.StatusRequestEntityTooLarge}), nil
 	}
+	r.room, r.NoRoom = c.server.admit(ctx, r, req.ContentLength)
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	r.memory = c.server.Budget.share(req.ContentLength, nil)
-	r.Body, err = readRequestBody(req.Body, req.ContentLength, limits.Body, r.memory)
-	if errors.Is(err, errBudgetUsed) {
-		r.Discarded = true
-		r.release()
-		err = discard(req.Body, limits.Body)
+	if r.NoRoom != nil {
+		// Without "100 Continue" the caller may or may not send the body.
+		return incoming{request: r, last: expects, unread: req.Body, limit: limit}, nil
 	}
-	if err != nil {
-		r.release()
+	if expects {
+		c.sendContinue()
 	}
-	if errors.Is(err, errTooLarge) {
-		return r, &Response{Status: http.StatusRequestEntityTooLarge}, err
+	var err error
+	r.Body, err = readRequestBody(req.Body, req.ContentLength, limit, r.room)
+	if err == nil {
+		return incoming{request: r}, nil
+	}
+	r.release()
+	r.room = nil
+	switch {
+	case errors.Is(err, errNoRoom):
+		r.NoRoom = &NoRoom{}
+		return incoming{request: r, unread: req.Body, limit: limit}, nil
+	case errors.Is(err, errTooLarge):
+		return rejected(r, &Response{Status: http.StatusRequestEntityTooLarge}), nil
 	}
-	return r, nil, err
+	return incoming{}, err
 }
 
 func (c *serverConn) idleDeadline(limits Limits) time.Time {
@@ -419,13 +493,13 @@
 
 // respond runs the handler, unless there is a rejection, and writes the response after
 // the previous one.
-func (c *serverConn) respond(ctx context.Context, req *Request, rejection *Response, previous <-chan struct{}, cancel func()) {
-	resp, method := rejection, http.MethodGet
-	if req != nil {
-		method = req.Method
+func (c *serverConn) respond(ctx context.Context, in incoming, previous <-chan struct{}, cancel func()) {
+	resp, method := in.rejection, http.MethodGet
+	if in.request != nil {
+		method = in.request.Method
 	}
 	if resp == nil {
-		resp = c.server.handle(ctx, req)
+		resp = c.server.handle(ctx, in.request)
 	}
 	if resp != nil {
 		size := int64(len(resp.Body)) + responseOverhead
@@ -441,7 +515,8 @@
 	}
 	c.mu.Lock()
 	last := c.pending == 1
-	if rejection != nil || (last && (c.draining || resp.Close || overLimit)) {
+	// While an unread body is still on its way, closing could destroy the response.
+	if in.last || (last && in.unread == nil && (c.draining || resp.Close || overLimit)) {
 		c.closing = true
 	}
 	out := *resp
@@ -464,6 +539,22 @@
 	}
 }
 
+// admit asks for room for the body of a request. A panic refuses only this request.
+func (s *Server) admit(ctx context.Context, r *Request, length int64) (room Room, none *NoRoom) {
+	if s.Intake == nil {
+		return nil, nil
+	}
+	defer func() {
+		if value := recover(); value != nil {
+			if s.OnPanic != nil {
+				s.OnPanic(value, debug.Stack())
+			}
+			room, none = nil, &NoRoom{}
+		}
+	}()
+	return s.Intake.Admit(ctx, r, length)
+}
+
 // handle runs the handler. A panic ends only this request.
 func (s *Server) handle(ctx context.Context, req *Request) (resp *Response) {
 	defer func() {
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -26,6 +26,7 @@
 	"chestnutshed.example/chestnutshed/internal/policy/connreuse"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
 	"chestnutshed.example/chestnutshed/internal/policy/cutoff"
+	"chestnutshed.example/chestnutshed/internal/policy/intake"
 	"chestnutshed.example/chestnutshed/internal/policy/knee"
 	"chestnutshed.example/chestnutshed/internal/policy/latency"
 	"chestnutshed.example/chestnutshed/internal/policy/lifecycle"
@@ -415,8 +416,8 @@
 	id := s.lastID.Add(1)
 	deadline := now.Add(c.Remaining())
 	s.adoptLimit(now, c)
-	if r.Discarded {
-		return s.refuse(now, c, call.Refused{Reason: failure.Backlog, RetryAfter: unavailableRetryAfter})
+	if r.NoRoom != nil {
+		return s.refuse(now, c, call.Refused{Reason: failure.Backlog, RetryAfter: max(r.NoRoom.After, unavailableRetryAfter)})
 	}
 	f, release, refused := s.screen(ctx, now, flight{call: c, request: r})
 	defer release()
@@ -596,6 +597,17 @@
 	s.mu.Unlock()
 }
 
+// bodyWaitDivisor divides the time for which a call may wait for a slot to give that for which
+// its body may wait for room before.
+const bodyWaitDivisor = 2
+
+// DescribeBody returns whose body a call from another node has. It reports false for one that
+// is no call.
+func (s *Service) DescribeBody(_ time.Time, r *httpconn.Request) (intake.Body, bool) {
+	c, err := call.Peek(r.Header)
+	return intake.Body{Organisation: c.Organisation, Class: c.Score.Class(), Until: r.Received.Add(c.QueueTimeout() / bodyWaitDivisor)}, err == nil
+}
+
 // Handle runs a call from another node.
 func (s *Service) Handle(ctx context.Context, r *httpconn.Request) *httpconn.Response {
 	c, err := call.Take(r.Header)
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -189,9 +189,12 @@
 	if errResp := s.resolve(q); errResp != nil {
 		return nil, errResp
 	}
-	if s.Backlogged() || q.in.Discarded {
+	if s.Backlogged() {
 		return nil, &errorResponse{http.StatusServiceUnavailable, failure.Backlog, backlogRetryAfter}
 	}
+	if q.in.NoRoom != nil {
+		return nil, s.refuseBody(clock.Now(), q)
+	}
 	q.deadline = q.start.Add(q.route.Timeout)
 	if q.info.Timeout > 0 && q.info.Timeout < q.route.Timeout {
 		q.deadline = q.start.Add(q.info.Timeout)
@@ -210,6 +213,7 @@
 			return nil, s.refuseRate(clock.Now(), q)
 		}
 	}
+	s.passBody(clock.Now(), q)
 	s.buildCall(q)
 	resp, errResp := s.forward(ctx, q)
 	if q.parent.ID != "" {
--- a/internal/traffic/relay/returns_test.go
+++ b/internal/traffic/relay/returns_test.go
@@ -7,8 +7,10 @@
 
 	"chestnutshed.example/chestnutshed/internal/config/rules"
 	"chestnutshed.example/chestnutshed/internal/core/failure"
+	"chestnutshed.example/chestnutshed/internal/policy/intake"
 	"chestnutshed.example/chestnutshed/internal/policy/returns"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
+	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 )
@@ -68,3 +70,26 @@
 	e := s.sendBack(start, ordered(start, 5*time.Second), overloaded(3*time.Second))
 	is.Equal(e.after, 3*time.Second)
 }
+
+// A caller whose body was not read comes back when there is room, with a place if bodies get
+// through. One whose body never fits is told so.
+func TestBodyRefused(t *testing.T) {
+	is := is.New(t)
+	s := New("z", Settings{}, Deps{Metrics: metrics.NewSet()})
+	unread := func(at time.Time, left time.Duration, n httpconn.NoRoom) *request {
+		q := ordered(at, left)
+		q.in = &httpconn.Request{NoRoom: &n}
+		return q
+	}
+	passed := ordered(start, 5*time.Second)
+	passed.in = &httpconn.Request{Body: make([]byte, intake.Small+1)}
+	s.passBody(start, passed)
+	const left, after = 5 * time.Second, 400 * time.Millisecond
+	e := s.refuseBody(start, unread(start, left, httpconn.NoRoom{After: after}))
+	is.Equal(*e, errorResponse{http.StatusServiceUnavailable, failure.Backlog, after})
+	back := unread(start.Add(after), left-after, httpconn.NoRoom{})
+	s.refuseBody(back.start, back)
+	is.Equal(back.turn, returns.WithPlace)
+	e = s.refuseBody(start, unread(start, left, httpconn.NoRoom{Never: true}))
+	is.Equal(*e, errorResponse{http.StatusRequestEntityTooLarge, failure.TooLarge, 0})
+}
