--- a/internal/fleet/pressure/pressure.go
+++ b/internal/fleet/pressure/pressure.go
@@ -35,8 +35,9 @@
 	maxServices = 8
 	maxRoutes   = 16
 	maxChildren = 8
-	// maxAge bounds the ages in a note, and maxCalls the calls per run.
+	// maxAge bounds the ages in a note, maxLoad the loads and maxCalls the calls per run.
 	maxAge   = time.Hour
+	maxLoad  = 1e3
 	maxCalls = 1e4
 	// peerWeight is the weight of a peer's profile against the known one, and ownWeight
 	// that of a run measured here.
@@ -125,11 +126,12 @@
 	Routes   []routeNote   `json:"routes,omitempty"`
 }
 
-// serviceNote is a chain.Pressure. Cutoff is in units of 1/cutoffFactor, Age in
-// milliseconds.
+// serviceNote is a chain.Pressure. Cutoff is in units of 1/cutoffFactor, Load in units of
+// 1/loadFactor, Age in milliseconds.
 type serviceNote struct {
 	Service string `json:"svc"`
 	Cutoff  int64  `json:"cut"`
+	Load    int64  `json:"load"`
 	Age     int64  `json:"age"`
 }
 
@@ -151,14 +153,15 @@
 const (
 	cutoffFactor = 1e5
 	callsFactor  = 1e3
+	loadFactor   = 1e3
 )
 
 // pressure returns the pressure in a note, or an error if a field is out of range.
 func (n serviceNote) pressure(now time.Time) (chain.Pressure, error) {
-	if n.Service == "" || n.Age < 0 || n.Age > maxAge.Milliseconds() || n.Cutoff < 0 || n.Cutoff > int64(float64(priority.AdmitAll)*cutoffFactor) {
+	if n.Service == "" || n.Age < 0 || n.Age > maxAge.Milliseconds() || n.Cutoff < 0 || n.Cutoff > int64(float64(priority.AdmitAll)*cutoffFactor) || n.Load < 0 || n.Load > maxLoad*loadFactor {
 		return chain.Pressure{}, fmt.Errorf("pressure of service %q: a field is out of range", n.Service)
 	}
-	return chain.Pressure{Cutoff: priority.Cutoff(n.Cutoff) / cutoffFactor, At: now.Add(-time.Duration(n.Age) * time.Millisecond)}, nil
+	return chain.Pressure{Cutoff: priority.Cutoff(n.Cutoff) / cutoffFactor, Load: float64(n.Load) / loadFactor, At: now.Add(-time.Duration(n.Age) * time.Millisecond)}, nil
 }
 
 // profile returns the profile in a note, or an error if a field is out of range.
@@ -180,7 +183,7 @@
 func (s *Service) encode(now, since time.Time) json.RawMessage {
 	var n note
 	for service, p := range s.board.Pressures(now) {
-		n.Services = append(n.Services, serviceNote{service, int64(float64(p.Cutoff) * cutoffFactor), now.Sub(p.At).Milliseconds()})
+		n.Services = append(n.Services, serviceNote{service, int64(float64(p.Cutoff) * cutoffFactor), int64(min(p.Load, maxLoad) * loadFactor), now.Sub(p.At).Milliseconds()})
 	}
 	slices.SortFunc(n.Services, func(a, b serviceNote) int { return cmp.Compare(a.Cutoff, b.Cutoff) })
 	n.Services = n.Services[:min(len(n.Services), maxServices)]
--- a/internal/policy/chain/chain.go
+++ b/internal/policy/chain/chain.go
@@ -29,6 +29,9 @@
 	// changedBy is the relative change of the calls per run that counts as a change of a
 	// profile.
 	changedBy = 0.25
+	// ownWeight is the weight of a node's own load in each measurement. It corrects what
+	// lost reports add up to.
+	ownWeight = 0.02
 	// maxHops bounds the length of a chain.
 	maxHops = 8
 )
@@ -37,6 +40,8 @@
 type Pressure struct {
 	// Cutoff is the highest score of root requests that the service has room for.
 	Cutoff priority.Cutoff
+	// Load is the running and waiting calls over the slots.
+	Load float64
 	// At is when a node of the service last measured it.
 	At time.Time
 }
@@ -51,6 +56,7 @@
 		weight = 0.5
 	}
 	p.Cutoff += (other.Cutoff - p.Cutoff) * priority.Cutoff(weight)
+	p.Load += (other.Load - p.Load) * weight
 	if other.At.After(p.At) {
 		p.At = other.At
 	}
@@ -121,6 +127,8 @@
 	pressures map[string]Pressure
 	profiles  map[string]Profile
 	version   uint64
+	// loads are the loads of this node's target when last measured, by service.
+	loads map[string]float64
 	// needs is derived from the profiles; nil after one has changed.
 	needs   map[string]map[string]float64
 	needsAt time.Time
@@ -128,14 +136,16 @@
 
 // New returns a board that knows nothing.
 func New() *Board {
-	return &Board{pressures: map[string]Pressure{}, profiles: map[string]Profile{}}
+	return &Board{pressures: map[string]Pressure{}, profiles: map[string]Profile{}, loads: map[string]float64{}}
 }
 
 // SetVersion sets the version of the configuration in force.
 func (b *Board) SetVersion(version uint64) { b.version = version }
 
 // Measure records what a node of a service has measured. Its cutoff is the agreed one,
-// moved by its last step. A service that admits everything makes no report.
+// moved by its last step. A service that admits everything makes no report. The load moves
+// by the change of the node's own, so that the loads that the nodes exchange stay at the
+// mean over the nodes.
 func (b *Board) Measure(now time.Time, service string, own Pressure) {
 	own.At = now
 	known, ok := b.pressures[service]
@@ -146,6 +156,13 @@
 	if ok && open {
 		own.At = known.At
 	}
+	if last, measured := b.loads[service]; ok && measured {
+		change := own.Load - last
+		b.loads[service] = own.Load
+		own.Load = max(known.Load+change+(own.Load-known.Load)*ownWeight, 0)
+	} else {
+		b.loads[service] = own.Load
+	}
 	b.pressures[service] = own
 }
 
@@ -186,6 +203,7 @@
 	for service, p := range b.pressures {
 		if now.Sub(p.At) > pressureTTL {
 			delete(b.pressures, service)
+			delete(b.loads, service)
 		}
 	}
 	for route, p := range b.profiles {
--- a/internal/policy/cutoff/chain_test.go
+++ b/internal/policy/cutoff/chain_test.go
@@ -36,6 +36,6 @@
 		tick(r)
 	}
 	agreed := priority.Cutoff(rank(30))
-	r.Adopt(agreed)
+	r.Adopt(agreed, 1.25)
 	is.True(r.Cutoff()-agreed < 1e-3)
 }
