--- a/internal/policy/cutoff/chain_test.go
+++ b/internal/policy/cutoff/chain_test.go
@@ -36,7 +36,9 @@
 		tick(r)
 	}
 	agreed := priority.Cutoff(rank(30))
-	r.Adopt(agreed, 1.25)
+	for range 50 {
+		r.Adopt(agreed, 1.25)
+	}
 	is.True(r.Cutoff()-agreed < 1e-3)
 }
 
@@ -45,6 +47,9 @@
 func TestSlowTarget(t *testing.T) {
 	is := is.New(t)
 	r := cutoff.New()
+	for range 40 {
+		tick(r)
+	}
 	before := priority.Cutoff(rank(80))
 	for range 100 {
 		r.Adopt(before, 1.1)
--- a/internal/policy/cutoff/cutoff.go
+++ b/internal/policy/cutoff/cutoff.go
@@ -47,6 +47,9 @@
 	// refusedWindow is the time constant of the offered work above the cutoff of a service
 	// in chains. Its requests are refused at their entries and not seen here.
 	refusedWindow = 5 * time.Second
+	// adoptRate is the fraction of the distance to the agreed cutoff that a tick makes up.
+	// The nodes step alike, so it only has to correct what they know late.
+	adoptRate = 0.2
 	// maxScoreDecay is how fast the highest offered score decays, in scores per
 	// second.
 	maxScoreDecay = 0.01
@@ -120,7 +123,7 @@
 // room for.
 func (r *Regulator) Adopt(cutoff priority.Cutoff, load float64) {
 	r.load, r.adopted = load, true
-	r.cutoff += (cutoff - r.cutoff) * priority.Cutoff(r.inner)
+	r.cutoff += (cutoff - r.cutoff) * priority.Cutoff(adoptRate*r.inner)
 }
 
 // Capacity is the throughput of the slots in requests per second, at the present
