--- a/internal/policy/balancer/balancer.go
+++ b/internal/policy/balancer/balancer.go
@@ -327,6 +327,9 @@
 			delete(b.dependencies[call.Route], service)
 			continue
 		}
+		if !b.rejecting[service].admits(call, d.calls) {
+			return false
+		}
 		if _, known := b.chains.Needs[call.Route][service]; !known && !b.serviceAdmits(now, call, service, d.calls) {
 			return false
 		}
@@ -346,9 +349,6 @@
 // serviceAdmits reports whether a service admits a call of which a run makes this many calls
 // to it.
 func (b *Balancer) serviceAdmits(now time.Time, call Call, service string, calls float64) bool {
-	if !b.rejecting[service].admits(call, calls) {
-		return false
-	}
 	cutoff, known := b.chains.Cutoffs[service]
 	switch {
 	case !known:
