chains: steps by the mean load and readings of single nodes taken out

A faster rise overshot into the next second: inner calls show half a second after their roots are admitted, and a target that runs full takes twice as long for a call.

--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -155,7 +155,7 @@
 	n.roster.AddTopic(evacuation.Name, n.evacuations)
 	n.metricSet.NewGauge("evacuated_zones", func() float64 { return float64(n.evacuations.Count(clock.Now())) })
 	n.departures = departure.New(s.Node, adapter.Leaves, n.roster, adapter.Eras, n.logger(departure.Name))
-	n.pressure = pressure.New(clock.Now, n.config.Version, n.targetCount, n.metricSet, n.logger(pressure.Name))
+	n.pressure = pressure.New(clock.Now, n.config.Version, n.metricSet, n.logger(pressure.Name))
 	n.roster.AddTopic(pressure.Name, n.pressure)
 	answers := httpconn.NewBudget(responseBudget(s))
 	n.inbound = inbound.New(inbound.Options{
@@ -168,7 +168,7 @@
 		Departures:  n.departures,
 		HealthPath:  n.healthPath,
 		HasLeft:     func(instance string, born int64) bool { return n.roster.TargetLeft(instance, born) },
-		TargetCount: n.targetCount,
+		TargetCount: func(service string) int { return len(n.roster.Serving(clock.Now(), service)) },
 		OwnZone:     n.evacuations.OwnZone,
 		ColdBound:   n.coldBound,
 		Downstream: func(now time.Time, service, route string) []balancer.Downstream {
@@ -190,9 +190,6 @@
 	return n, nil
 }
 
-// targetCount returns the number of targets of a service.
-func (n *Node) targetCount(service string) int { return len(n.roster.Serving(clock.Now(), service)) }
-
 // responseBudget returns how much memory large answers may take, in bytes.
 func responseBudget(s settings.Mesh) int64 {
 	return max(int64(s.Memory)<<20/responseDivisor, minResponseBudget)
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -467,8 +467,8 @@
 // InnerFraction is the recent fraction of inner calls among the requests offered.
 func (c *Controller) InnerFraction() float64 { return c.cutoff.InnerFraction() }
 
-// Adopt takes the cutoff that the nodes of the service agree on, and their mean load.
-func (c *Controller) Adopt(cutoff priority.Cutoff, load float64) { c.cutoff.Adopt(cutoff, load) }
+// Adopt takes the cutoff that the nodes of the service agree on.
+func (c *Controller) Adopt(cutoff priority.Cutoff) { c.cutoff.Adopt(cutoff) }
 
 // Load is the number of running and waiting requests over the slots that can be in use.
 // While the target is cold, it is at least the part of its bound that is in use.
--- a/internal/policy/chain/chain.go
+++ b/internal/policy/chain/chain.go
@@ -9,16 +9,19 @@
 package chain
 
 import (
-	"slices"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 )
 
 const (
-	// pressureTTL is how long a pressure is used after a node has measured it. A node
-	// measures it in each cutoff.Tick.
+	// pressureTTL is how long a pressure is used after a node of the service has measured
+	// it. Such a node measures it in each cutoff.Tick.
 	pressureTTL = time.Second
+	// sameTime is the distance up to which two pressures count alike. Otherwise the newer
+	// one gets newerWeight, and the older one is ignored.
+	sameTime    = 50 * time.Millisecond
+	newerWeight = 0.8
 	// profileTTL is how long a profile is used after a run was last measured, and
 	// outdatedTTL the same for one measured under an earlier configuration.
 	profileTTL  = time.Minute
@@ -30,39 +33,28 @@
 	maxHops = 8
 )
 
-// Node identifies a node of a service among its readings.
-type Node uint32
-
-// Pressure is the state of a node's target, or of a service.
+// Pressure is the state of a service, on average over its nodes.
 type Pressure struct {
-	// Cutoff is the highest score of root requests that there is room for.
+	// Cutoff is the highest score of root requests that the service has room for.
 	Cutoff priority.Cutoff
-	// Load is the running and waiting calls over the slots.
-	Load float64
-	// At is when it was measured.
+	// At is when a node of the service last measured it.
 	At time.Time
 }
 
-// agreed returns the state of a service: the median cutoff of its nodes, so that a slow or
-// failing target does not decide for all, and their mean load. It is false if no node is
-// short, or less than half of the nodes are known.
-func agreed(readings map[Node]Pressure, nodes int) (Pressure, bool) {
-	cutoffs := make([]priority.Cutoff, 0, len(readings))
-	var p Pressure
-	for _, r := range readings {
-		cutoffs = append(cutoffs, r.Cutoff)
-		p.Load += r.Load / float64(len(readings))
-		if r.At.After(p.At) {
-			p.At = r.At
-		}
+// WithOther returns the pressure after that of a peer was heard.
+func (p Pressure) WithOther(other Pressure) Pressure {
+	weight := 0.0
+	switch lead := other.At.Sub(p.At); {
+	case lead > sameTime:
+		weight = newerWeight
+	case lead >= -sameTime:
+		weight = 0.5
 	}
-	slices.Sort(cutoffs)
-	n := len(cutoffs)
-	if n == 0 || cutoffs[0] >= priority.AdmitAll || 2*n < nodes {
-		return Pressure{}, false
+	p.Cutoff += (other.Cutoff - p.Cutoff) * priority.Cutoff(weight)
+	if other.At.After(p.At) {
+		p.At = other.At
 	}
-	p.Cutoff = (cutoffs[(n-1)/2] + cutoffs[n/2]) / 2
-	return p, true
+	return p
 }
 
 // Child is a route to a service that runs of another route call.
@@ -126,9 +118,7 @@
 // Board holds the pressures and profiles that a node knows. It is not safe for concurrent
 // use.
 type Board struct {
-	// nodes returns the number of nodes of a service.
-	nodes     func(service string) int
-	pressures map[string]map[Node]Pressure
+	pressures map[string]Pressure
 	profiles  map[string]Profile
 	version   uint64
 	// needs is derived from the profiles; nil after one has changed.
@@ -136,29 +126,38 @@
 	needsAt time.Time
 }
 
-// New returns a board that knows nothing. Nodes returns the number of nodes of a service.
-func New(nodes func(service string) int) *Board {
-	return &Board{nodes: nodes, pressures: map[string]map[Node]Pressure{}, profiles: map[string]Profile{}}
+// New returns a board that knows nothing.
+func New() *Board {
+	return &Board{pressures: map[string]Pressure{}, profiles: map[string]Profile{}}
 }
 
 // SetVersion sets the version of the configuration in force.
 func (b *Board) SetVersion(version uint64) { b.version = version }
 
-// Hear records what a node of a service has measured, here or at a peer. Older measurements
-// of the node are ignored, and those of a service without a short node are not kept.
-func (b *Board) Hear(now time.Time, service string, node Node, p Pressure) {
-	readings := b.pressures[service]
-	if now.Sub(p.At) > pressureTTL || readings[node].At.After(p.At) {
+// Measure records what a node of a service has measured. Its cutoff is the agreed one,
+// moved by its last step. A service that admits everything makes no report.
+func (b *Board) Measure(now time.Time, service string, own Pressure) {
+	own.At = now
+	known, ok := b.pressures[service]
+	open := own.Cutoff >= priority.AdmitAll
+	if !ok && open {
 		return
 	}
-	if readings == nil {
-		if p.Cutoff >= priority.AdmitAll {
-			return
-		}
-		readings = map[Node]Pressure{}
-		b.pressures[service] = readings
+	if ok && open {
+		own.At = known.At
 	}
-	readings[node] = p
+	b.pressures[service] = own
+}
+
+// Hear records the pressure that a peer knows.
+func (b *Board) Hear(now time.Time, service string, p Pressure) {
+	if now.Sub(p.At) > pressureTTL {
+		return
+	}
+	if known, ok := b.pressures[service]; ok {
+		p = known.WithOther(p)
+	}
+	b.pressures[service] = p
 }
 
 // Learn records the profile of a route, measured here or by a peer, with a weight against
@@ -182,18 +181,10 @@
 	}
 }
 
-// Prune removes what is too old.
-func (b *Board) Prune(now time.Time) {
-	for service, readings := range b.pressures {
-		short := false
-		for node, p := range readings {
-			if now.Sub(p.At) > pressureTTL {
-				delete(readings, node)
-				continue
-			}
-			short = short || p.Cutoff < priority.AdmitAll
-		}
-		if !short {
+// prune removes what is too old.
+func (b *Board) prune(now time.Time) {
+	for service, p := range b.pressures {
+		if now.Sub(p.At) > pressureTTL {
 			delete(b.pressures, service)
 		}
 	}
@@ -211,12 +202,10 @@
 
 // View returns what is known at now.
 func (b *Board) View(now time.Time) View {
-	b.Prune(now)
+	b.prune(now)
 	v := View{Cutoffs: make(map[string]priority.Cutoff, len(b.pressures))}
-	for service := range b.pressures {
-		if p, ok := b.Pressure(service); ok {
-			v.Cutoffs[service] = p.Cutoff
-		}
+	for service, p := range b.pressures {
+		v.Cutoffs[service] = p.Cutoff
 	}
 	if b.needs == nil || now.Sub(b.needsAt) > needsInterval {
 		b.needs, b.needsAt = map[string]map[string]float64{}, now
@@ -241,20 +230,14 @@
 	}
 }
 
-// Pressure returns the state of a service; false if it has room for all requests, or too
-// few of its nodes are known.
-func (b *Board) Pressure(service string) (Pressure, bool) {
-	return agreed(b.pressures[service], b.nodes(service))
-}
-
-// Pressures returns what the nodes of short services have measured.
-func (b *Board) Pressures(now time.Time) map[string]map[Node]Pressure {
-	b.Prune(now)
+// Pressures returns the pressures by service.
+func (b *Board) Pressures(now time.Time) map[string]Pressure {
+	b.prune(now)
 	return b.pressures
 }
 
 // Profiles returns the profiles by route.
 func (b *Board) Profiles(now time.Time) map[string]Profile {
-	b.Prune(now)
+	b.prune(now)
 	return b.profiles
 }
--- a/internal/policy/cutoff/cutoff.go
+++ b/internal/policy/cutoff/cutoff.go
@@ -44,12 +44,6 @@
 	// maxFall bounds one fall of the cutoff, in doublings of the rank, with the
 	// queue at its setpoint. The bound grows with the square of the queue length.
 	maxFall = 1
-	// refusedWindow is the time constant of the offered work above the cutoff of a service
-	// in chains. Its requests are refused at their entries and not seen here.
-	refusedWindow = 5 * time.Second
-	// adoptRate is the fraction of the distance to the agreed cutoff that a tick makes up.
-	// The nodes step alike, so it only has to correct what they know late.
-	adoptRate = 0.2
 	// maxScoreDecay is how fast the highest offered score decays, in scores per
 	// second.
 	maxScoreDecay = 0.01
@@ -86,10 +80,6 @@
 	inner float64
 	// innerArrivals is the number of inner calls since the last tick.
 	innerArrivals int
-	// load is the running and waiting requests over the slots, as a mean over the nodes of
-	// the service. It is known if adopted is set, until the next tick.
-	load    float64
-	adopted bool
 	// admitted is the moving average of the work offered below the cutoff, in
 	// slots.
 	admitted float64
@@ -116,14 +106,12 @@
 // InnerFraction is the recent fraction of inner calls among the arrivals.
 func (r *Regulator) InnerFraction() float64 { return r.inner }
 
-// Adopt takes the cutoff that the nodes of the service agree on, and their mean load, for
-// the next tick. Inner calls are controlled
+// Adopt takes the cutoff that the nodes of the service agree on. Inner calls are controlled
 // only by the entries of all nodes together, so that a node which moved its cutoff on its own
 // would move it without end. Requests of callers are controlled here, by what this target has
 // room for.
-func (r *Regulator) Adopt(cutoff priority.Cutoff, load float64) {
-	r.load, r.adopted = load, true
-	r.cutoff += (cutoff - r.cutoff) * priority.Cutoff(adoptRate*r.inner)
+func (r *Regulator) Adopt(cutoff priority.Cutoff) {
+	r.cutoff += (cutoff - r.cutoff) * priority.Cutoff(r.inner)
 }
 
 // Capacity is the throughput of the slots in requests per second, at the present
@@ -167,7 +155,6 @@
 		return
 	}
 	r.slots = s.Slots
-	defer func() { r.adopted = false }()
 	keep := decayFactor(s.Elapsed, loadWindow)
 	r.released = r.released*keep + float64(s.Released)
 	r.busy = r.busy*keep + s.Busy*s.Elapsed.Seconds()
@@ -191,48 +178,20 @@
 func (r *Regulator) adjust(s Sample) {
 	setpoint := queueSetpoint(s.Slots)
 	slots := float64(s.Slots)
-	waiting, admitted := r.service(s)
-	excessWork := (waiting - float64(setpoint)) * r.busy / r.released / drainTime.Seconds()
+	excessWork := float64(s.Waiting-setpoint) * r.busy / r.released / drainTime.Seconds()
 	allowed := min(max(slots-excessWork, minAdmitted*slots), headroom*slots)
 	switch {
-	case waiting > float64(setpoint):
-		excess := waiting / float64(setpoint)
+	case s.Waiting > setpoint:
+		excess := float64(s.Waiting) / float64(setpoint)
 		highest := min(r.cutoff, r.highestOffered())
 		lowest := highest.WithStep(-maxFall * excess * excess)
 		r.cutoff = min(highest, max(r.offered.Quantile(allowed), lowest))
-	case r.cutoff < priority.AdmitAll && admitted < allowed:
-		shortage := math.Log2(allowed / max(admitted, allowed/16))
-		risen := r.skipEmpty(r.cutoff.WithStep(min(max(r.gain()*shortage, minRise), maxRise)))
-		r.cutoff = max(risen, r.fitting(r.gain()*(allowed-admitted)))
+	case r.cutoff < priority.AdmitAll && r.admitted < allowed:
+		shortage := math.Log2(allowed / max(r.admitted, allowed/16))
+		r.cutoff = r.skipEmpty(r.cutoff.WithStep(min(max(r.gain()*shortage, minRise), maxRise)))
 	}
 }
 
-// service returns the queue and the admitted work by which the cutoff moves. For inner calls,
-// they are those of the mean node of the service: a long queue at one target, while others
-// have free slots, is no reason to refuse runs.
-func (r *Regulator) service(s Sample) (waiting, admitted float64) {
-	waiting, admitted = float64(s.Waiting), r.admitted
-	if r.adopted {
-		slots := float64(s.Slots)
-		waiting += (max(r.load-1, 0)*slots - waiting) * r.inner
-		admitted += (r.load*slots - admitted) * r.inner
-	}
-	return waiting, admitted
-}
-
-// fitting returns the cutoff up to which this much more work was offered when it was last
-// admitted, at most a step above what is remembered.
-func (r *Regulator) fitting(more float64) priority.Cutoff {
-	if !r.adopted {
-		return r.cutoff
-	}
-	fitting := r.offered.Quantile(r.offered.Below(priority.Score(r.cutoff)) + more)
-	if fitting >= priority.AdmitAll {
-		return r.skipEmpty(r.cutoff.WithStep(maxRise))
-	}
-	return fitting
-}
-
 // gain is the fraction of a shortage that one tick makes up. It is lower for
 // inner calls, where a rise shows only after innerDelay.
 func (r *Regulator) gain() float64 {
@@ -246,11 +205,7 @@
 // updateOffered adds the arrivals of a tick to the averages of offered and
 // admitted work.
 func (r *Regulator) updateOffered(elapsed time.Duration, keep float64) {
-	if r.adopted {
-		r.offered.ScaleFrom(priority.Score(r.cutoff), keep, decayFactor(elapsed, refusedWindow))
-	} else {
-		r.offered.Scale(keep)
-	}
+	r.offered.Scale(keep)
 	weight := (1 - keep) / elapsed.Seconds()
 	for class := range r.maxScore {
 		floor := priority.Score(class)
--- a/internal/policy/overload/overload.go
+++ b/internal/policy/overload/overload.go
@@ -142,8 +142,8 @@
 // InnerFraction is the recent fraction of inner calls among the calls offered.
 func (c *Controller) InnerFraction() float64 { return c.admission.InnerFraction() }
 
-// Adopt takes the cutoff that the nodes of the service agree on, and their mean load.
-func (c *Controller) Adopt(cutoff priority.Cutoff, load float64) { c.admission.Adopt(cutoff, load) }
+// Adopt takes the cutoff that the nodes of the service agree on.
+func (c *Controller) Adopt(cutoff priority.Cutoff) { c.admission.Adopt(cutoff) }
 
 // Downstream lists the cutoffs of the downstream services that calls of a route
 // use, the lowest for each service, and the calls that they make, sorted by name.
--- a/internal/policy/priority/histogram.go
+++ b/internal/policy/priority/histogram.go
@@ -29,18 +29,6 @@
 	}
 }
 
-// ScaleFrom multiplies the work below a score by one factor and the rest by another.
-func (h *Histogram) ScaleFrom(s Score, below, above float64) {
-	first := bin(s)
-	for i := range h {
-		if i < first {
-			h[i] *= below
-		} else {
-			h[i] *= above
-		}
-	}
-}
-
 // Below returns the work with a lower score.
 func (h *Histogram) Below(s Score) float64 {
 	below := 0.0
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -670,14 +670,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.overload.Adopt(agreed.Cutoff, agreed.Load)
+	s.overload.Adopt(agreed.Cutoff)
 }
 
 // reportPressure tells the other nodes how short the target is, if it is part of chains.
 func (s *Service) reportPressure(now time.Time) {
 	target := s.Target()
 	s.mu.Lock()
-	own := chain.Pressure{Cutoff: s.overload.Cutoff(), Load: s.overload.Load(now)}
+	own := chain.Pressure{Cutoff: s.overload.Cutoff()}
 	ok := target.State == lifecycle.Ready && !s.draining && s.overload.InnerFraction() >= minInner
 	s.mu.Unlock()
 	if ok {
