tests: ports of packages that run at the same time no longer overlap

TestFleetRateLimit/platform_responses_are_lost failed once, beside load: a node of the stand-in could not listen, "address already in use".

--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -109,11 +109,12 @@
 	stop   func()
 }
 
-// Ports lie below the range of outgoing sockets, so that none of those takes a
-// port before its owner listens. Each test process uses its own block.
+// Ports lie below the range of outgoing sockets and above those of other packages' tests,
+// so that none of those takes a port before its owner listens. Each test process uses its
+// own block.
 const (
-	firstPort  = 10000
-	portBlocks = 20
+	firstPort  = 31000
+	portBlocks = 7
 	blockPorts = 250
 )
 
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -54,12 +54,12 @@
 }
 
 // The ports of rigs are below the system's ephemeral ports, so outgoing
-// connections can't take them. Each process reserves one of the ranges: it listens
-// on the range's first port until it exits.
+// connections can't take them, and apart from those of other packages' tests. Each
+// process reserves one of the ranges: it listens on the range's first port until it exits.
 const (
 	firstPort     = 10000
 	portsPerRange = 1100
-	portRanges    = 20
+	portRanges    = 9
 )
 
 var (
