--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -137,6 +137,11 @@
 }
 
 func start(t *testing.T, d *directory, name, zone, at string) running {
+	t.Helper()
+	return startWith(t, d, name, zone, at, nil)
+}
+
+func startWith(t *testing.T, d *directory, name, zone, at string, topics map[string]roster.Topic) running {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -146,6 +151,9 @@
 		Address: at, Datagrams: at, Zone: zone, Region: "r",
 	}}, d, n, logrus.NewEntry(log))
 	is.New(t).NoErr(err)
+	for topic, handler := range topics {
+		s.AddTopic(topic, handler)
+	}
 	k := kernel.New()
 	is.New(t).NoErr(k.Register(s))
 	is.New(t).NoErr(k.Start(context.Background()))
