--- a/internal/fleet/pressure/pressure.go
+++ b/internal/fleet/pressure/pressure.go
@@ -3,7 +3,7 @@
 //
 // Reports travel with the probes of the membership, which also reach nodes without
 // traffic, and with results between nodes, so that under load nearly all nodes hear of a
-// change within a second. A process that has just started is told all at once.
+// change within a tenth of a second.
 package pressure
 
 import (
@@ -27,13 +27,9 @@
 const Name = "pressure"
 
 const (
-	// resultRate bounds the reports in results to other nodes, probeRate those in probes,
-	// and profileRate those in probes with all profiles; in bytes per second. With the
-	// membership they stay below 3,000.
-	resultRate  = 1500
-	probeRate   = 300
-	profileRate = 150
-	// changeTime is how long a changed profile goes with reports that don't have all.
+	// resultRate bounds the reports in results to other nodes, in bytes per second.
+	resultRate = 2000
+	// changeTime is how long a changed profile goes with results.
 	changeTime = time.Second
 	// maxServices, maxRoutes and maxChildren bound a note.
 	maxServices = 8
@@ -57,9 +53,8 @@
 
 	mu    sync.Mutex
 	board *chain.Board
-	// nextResult is when a result may carry the next report, nextProbe the same for probes,
-	// and nextProfiles for probes with all profiles.
-	nextResult, nextProbe, nextProfiles time.Time
+	// nextResult is when a result may carry the next report.
+	nextResult time.Time
 	// short are the services that were short when last looked at, for the log.
 	short map[string]bool
 }
@@ -218,34 +213,11 @@
 
 // Note implements roster.Topic.
 func (s *Service) Note() json.RawMessage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	if !now.Before(s.nextProfiles) {
-		text := s.encode(now, time.Time{})
-		s.nextProfiles = now.Add(sendingTime(text, profileRate))
-		return text
-	}
-	if now.Before(s.nextProbe) {
-		return nil
-	}
-	text := s.encode(now, now.Add(-changeTime))
-	s.nextProbe = now.Add(sendingTime(text, probeRate))
-	return text
-}
-
-// Greeting implements roster.Greeter.
-func (s *Service) Greeting() json.RawMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.encode(s.now(), time.Time{})
 }
 
-// sendingTime is the time that a report takes at a rate in bytes per second.
-func sendingTime(text []byte, rate int) time.Duration {
-	return time.Duration(len(text)) * time.Second / time.Duration(rate)
-}
-
 // ResultNote returns the report for a result to another node, nil if there is nothing new
 // or the last one was sent too recently.
 func (s *Service) ResultNote(now time.Time) json.RawMessage {
@@ -255,7 +227,7 @@
 		return nil
 	}
 	text := s.encode(now, now.Add(-changeTime))
-	s.nextResult = now.Add(sendingTime(text, resultRate))
+	s.nextResult = now.Add(time.Duration(len(text)) * time.Second / resultRate)
 	return text
 }
 
--- a/internal/fleet/roster/exchange.go
+++ b/internal/fleet/roster/exchange.go
@@ -144,18 +144,14 @@
 	p.Digest = s.table.Digest()
 	s.mu.Unlock()
 	for name, t := range s.topics {
-		p.addNote(name, t.Note())
-	}
-	return p
-}
-
-// greet adds what a process that has just started is told.
-func (s *Service) greet(p *packet) {
-	for name, t := range s.topics {
-		if g, ok := t.(Greeter); ok {
-			p.addNote(name, g.Greeting())
+		if note := t.Note(); note != nil {
+			if p.Notes == nil {
+				p.Notes = map[string]json.RawMessage{}
+			}
+			p.Notes[name] = note
 		}
 	}
+	return p
 }
 
 // versions lists this node and up to maxVersions random members with the
@@ -194,7 +190,6 @@
 
 // handle processes a packet and answers it.
 func (s *Service) handle(now time.Time, p packet, from string) {
-	_, known := s.Get(p.From)
 	fresh := s.merge(now, p)
 	for name, note := range p.Notes {
 		if t, ok := s.topics[name]; ok {
@@ -214,11 +209,8 @@
 		answer.Echo = p.Sent
 		answer.Informed = s.informed(now)
 	}
-	if p.introduces() && (p.Sent != 0 || !known) {
-		s.greet(&answer)
-	}
 	s.reconcile(p, &answer)
-	if p.Sent != 0 || len(answer.Want)+len(answer.Records)+len(answer.Versions)+len(answer.Notes) > 0 {
+	if p.Sent != 0 || len(answer.Want)+len(answer.Records)+len(answer.Versions) > 0 {
 		if answer.From == "" {
 			answer.From = s.Self().ID
 		}
@@ -243,7 +235,7 @@
 		// The sender runs. Its own record lets it refute the suspicion.
 		answer.Records = append(answer.Records, sender)
 	}
-	if p.introduces() {
+	if slices.ContainsFunc(p.Records, func(r member.Record) bool { return r.ID == p.From }) {
 		// A restarted process learns which targets left its earlier incarnations.
 		for _, r := range s.table.Deregistered(sender.Address) {
 			if r.ID != p.From && len(answer.Records) < maxRecords {
--- a/internal/fleet/roster/packet.go
+++ b/internal/fleet/roster/packet.go
@@ -1,8 +1,6 @@
 package roster
 
 import (
-	"slices"
-
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"github.com/goccy/go-json"
 )
@@ -55,19 +53,3 @@
 	// Notes is the data that topics add to every probe and answer.
 	Notes map[string]json.RawMessage `json:"notes,omitempty"`
 }
-
-// introduces reports whether the packet has the sender's own record.
-func (p *packet) introduces() bool {
-	return slices.ContainsFunc(p.Records, func(r member.Record) bool { return r.ID == p.From })
-}
-
-// addNote adds the data of a topic. Nil is none.
-func (p *packet) addNote(topic string, note json.RawMessage) {
-	if note == nil {
-		return
-	}
-	if p.Notes == nil {
-		p.Notes = map[string]json.RawMessage{}
-	}
-	p.Notes[topic] = note
-}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -110,13 +110,6 @@
 	Message(now time.Time, from string, body json.RawMessage)
 }
 
-// Greeter is a topic that tells a process that has just started more than others.
-type Greeter interface {
-	Topic
-	// Greeting returns data to add to the answer to the process's introduction, or nil.
-	Greeting() json.RawMessage
-}
-
 // Options are the settings of a roster.
 type Options struct {
 	// Node is the name of the node, which stays the same across restarts.
