--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -22,7 +22,6 @@
 	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"chestnutshed.example/chestnutshed/internal/fleet/evacuation"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
-	"chestnutshed.example/chestnutshed/internal/fleet/pressure"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/quota"
 	"chestnutshed.example/chestnutshed/internal/fleet/rejection"
@@ -111,7 +110,6 @@
 	rates      *quota.Service
 	quarantine *quarantine.Service
 	rejections *rejection.Service
-	pressure   *pressure.Service
 	departures *departure.Service
 	// evacuations are the availability zones that get no work.
 	evacuations *evacuation.Service
@@ -158,14 +156,11 @@
 	n.roster.AddTopic(evacuation.Name, n.evacuations)
 	n.metricSet.NewGauge("evacuated_zones", func() float64 { return float64(n.evacuations.Count(clock.Now())) })
 	n.departures = departure.New(s.Node, adapter.Leaves, n.roster, adapter.Eras, n.logger(departure.Name))
-	n.pressure = pressure.New(clock.Now, n.config.Version, n.metricSet, n.logger(pressure.Name))
-	n.roster.AddTopic(pressure.Name, n.pressure)
 	answers := httpconn.NewBudget(responseBudget(s))
 	n.inbound = inbound.New(inbound.Options{
 		Address: s.Target, ResponseBudget: answers, Retries: retrybudget.Limits{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Duration()}, OnChange: n.publishTarget,
 		Quarantine:  n.quarantine,
 		Rejections:  n.rejections,
-		Pressure:    n.pressure,
 		Backlogged:  n.backlogged,
 		Synced:      func(now time.Time) bool { return n.roster.Synced(now) },
 		Departures:  n.departures,
@@ -180,12 +175,12 @@
 	}, adapter.Dialect, n.metricSet, n.logger(inbound.Name))
 	n.relay = relay.New(s.Zone, n.relaySettings(s), relay.Deps{
 		Dialect: adapter.Dialect, Config: n.config, Roster: n.roster, Quota: n.rates,
-		Inbound: n.inbound, Quarantine: n.quarantine, Rejections: n.rejections, Evacuations: n.evacuations, Pressure: n.pressure, ResponseBudget: answers, Backlogged: n.backlogged, Metrics: n.metricSet, Log: n.logger(relay.Name),
+		Inbound: n.inbound, Quarantine: n.quarantine, Rejections: n.rejections, Evacuations: n.evacuations, ResponseBudget: answers, Backlogged: n.backlogged, Metrics: n.metricSet, Log: n.logger(relay.Name),
 	})
 	if err := n.listen(adapter); err != nil {
 		return nil, err
 	}
-	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.quarantine, n.rejections, n.pressure, n.departures, n.evacuations, n.inbound, n.relay} {
+	for _, service := range []kernel.Service{n.config, n.roster, n.rates, n.quarantine, n.rejections, n.departures, n.evacuations, n.inbound, n.relay} {
 		if err := n.kernel.Register(service); err != nil {
 			return nil, fmt.Errorf("assemble node: %w", err)
 		}
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -77,14 +77,8 @@
 	Share        float64
 	Depth        int
 	Deadline     time.Time
-	// Again is set if another target of the service refused the call just before. It is
-	// counted there.
-	Again bool
 }
 
-// inner reports whether a target makes the call.
-func (r Request) inner() bool { return r.Depth > 1 }
-
 // rootScore returns the score of the root request.
 func (r Request) rootScore() priority.Score {
 	if r.RootScore == 0 {
@@ -252,16 +246,11 @@
 // dropped.
 func (c *Controller) Offer(now time.Time, r Request) (Verdict, Changes) {
 	c.accrueBusy(now)
-	if !r.Again {
-		c.cutoff.Offer(r.rootScore(), r.inner(), c.meanHold[r.Route])
-	}
+	c.cutoff.Offer(r.rootScore(), r.Depth > 1, c.meanHold[r.Route])
 	if c.cannotFinish(now, r.Route, r.Deadline) {
 		c.holdEstimate[r.Route] *= holdDecay
 		return Refuse{Reason: failure.Deadline}, Changes{}
 	}
-	if c.shedsChain(r) {
-		return Refuse{Reason: failure.Overload, Backoff: c.RetryAfter()}, Changes{}
-	}
 	idle := c.mayStart(now) && c.queue.Len() == 0
 	if c.options.Shedding && !c.cutoff.Cutoff().Admits(r.Score, r.Depth) && !c.lessImportantWaits(r.Score) && !(c.options.WorkConserving && idle) {
 		return Refuse{Reason: failure.Overload, Backoff: c.RetryAfter()}, Changes{}
@@ -283,12 +272,6 @@
 	return Wait{}, changes
 }
 
-// shedsChain reports whether an inner call is refused since its root request is no longer
-// admitted. Others then need not wait, and whole runs are lost instead of a call of each.
-func (c *Controller) shedsChain(r Request) bool {
-	return c.options.Shedding && r.inner() && r.RootScore > 0 && cutoff.Crowded(c.queue.Len(), c.limit.Value()) && !c.cutoff.Cutoff().AdmitsStarted(r.RootScore)
-}
-
 func newItem(now time.Time, r Request) queue.Item {
 	return queue.Item{
 		ID:           r.ID,
@@ -464,12 +447,6 @@
 	return c.cutoff.Cutoff()
 }
 
-// InnerFraction is the recent fraction of inner calls among the requests offered.
-func (c *Controller) InnerFraction() float64 { return c.cutoff.InnerFraction() }
-
-// Adopt takes the cutoff that the nodes of the service agree on.
-func (c *Controller) Adopt(cutoff priority.Cutoff) { c.cutoff.Adopt(cutoff) }
-
 // Load is the number of running and waiting requests over the slots that can be in use.
 // While the target is cold, it is at least the part of its bound that is in use.
 func (c *Controller) Load(now time.Time) float64 {
--- a/internal/policy/balancer/balancer.go
+++ b/internal/policy/balancer/balancer.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
-	"chestnutshed.example/chestnutshed/internal/policy/chain"
 	"chestnutshed.example/chestnutshed/internal/policy/pace"
 	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/policy/spill"
@@ -164,9 +163,6 @@
 	// dependencies holds the downstream services of each route.
 	downstream   map[string]reportedCutoff
 	dependencies map[string]map[string]dependency
-	// chains is what all nodes know of short services and of what routes use. It goes
-	// before downstream and dependencies.
-	chains chain.View
 	// rejecting holds the services that reject calls, by name.
 	rejecting map[string]Rejecting
 	// serviceTimes are the service times that candidates reported, by route and
@@ -211,9 +207,6 @@
 	Objective time.Duration
 	// Remaining is the time until the deadline; 0 if it is not known.
 	Remaining time.Duration
-	// RootScore is the score of the root request of an inner call, 0 if it is not known
-	// for certain.
-	RootScore priority.Score
 	// Repeatable is set if the request may run more than once.
 	Repeatable bool
 	// Retry is set if the call was sent before. Its candidates may be only some of the
@@ -327,40 +320,13 @@
 			delete(b.dependencies[call.Route], service)
 			continue
 		}
-		if !b.rejecting[service].admits(call, d.calls) {
-			return false
-		}
-		if _, known := b.chains.Needs[call.Route][service]; !known && !b.serviceAdmits(now, call, service, d.calls) {
-			return false
-		}
-	}
-	for service, calls := range b.chains.Needs[call.Route] {
-		if !b.serviceAdmits(now, call, service, calls) {
+		if !b.downstream[service].admits(now, call.Score, call.Depth) || !b.rejecting[service].admits(call, d.calls) {
 			return false
 		}
 	}
 	return true
 }
 
-// minCalls is the number of calls per run below which a run is likely to complete without
-// the service.
-const minCalls = 0.05
-
-// serviceAdmits reports whether a service admits a call of which a run makes this many calls
-// to it.
-func (b *Balancer) serviceAdmits(now time.Time, call Call, service string, calls float64) bool {
-	cutoff, known := b.chains.Cutoffs[service]
-	switch {
-	case !known:
-		return b.downstream[service].admits(now, call.Score, call.Depth)
-	case calls < minCalls:
-		return true
-	case call.Depth > 1 && call.RootScore > 0:
-		return cutoff.AdmitsStarted(call.RootScore)
-	}
-	return cutoff.Admits(call.Score, call.Depth)
-}
-
 // preferZone returns the candidates of the own availability zone if one of them
 // has spare capacity, otherwise all.
 func (b *Balancer) preferZone(now time.Time, all []Candidate) []Candidate {
@@ -506,9 +472,6 @@
 	}
 }
 
-// SetChains replaces what all nodes know of short services and of what routes use.
-func (b *Balancer) SetChains(v chain.View) { b.chains = v }
-
 // Downstream lists the fresh cutoffs that apply to calls of a route to a
 // service: the highest among the service's candidates whose target is present,
 // and those of the services further downstream.
@@ -520,18 +483,11 @@
 			highest, known = max(highest, r.cutoff), true
 		}
 	}
-	if agreed, ok := b.chains.Cutoffs[service]; ok {
-		highest, known = agreed, true
-	}
 	if known {
 		list = append(list, Downstream{Service: service, Cutoff: highest, Calls: 1})
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.dependencies[route])) {
-		r := b.downstream[name]
-		if agreed, ok := b.chains.Cutoffs[name]; ok {
-			r = reportedCutoff{cutoff: agreed, at: now}
-		}
-		if r.fresh(now) {
+		if r := b.downstream[name]; r.fresh(now) {
 			list = append(list, Downstream{Service: name, Cutoff: r.cutoff, Calls: b.dependencies[route][name].calls})
 		}
 	}
--- a/internal/policy/cutoff/cutoff.go
+++ b/internal/policy/cutoff/cutoff.go
@@ -103,17 +103,6 @@
 // Cutoff is the present cutoff.
 func (r *Regulator) Cutoff() priority.Cutoff { return r.cutoff }
 
-// InnerFraction is the recent fraction of inner calls among the arrivals.
-func (r *Regulator) InnerFraction() float64 { return r.inner }
-
-// Adopt takes the cutoff that the nodes of the service agree on. Inner calls are controlled
-// only by the entries of all nodes together, so that a node which moved its cutoff on its own
-// would move it without end. Requests of callers are controlled here, by what this target has
-// room for.
-func (r *Regulator) Adopt(cutoff priority.Cutoff) {
-	r.cutoff += (cutoff - r.cutoff) * priority.Cutoff(r.inner)
-}
-
 // Capacity is the throughput of the slots in requests per second, at the present
 // holding times; 0 if no request finished lately.
 func (r *Regulator) Capacity() float64 {
@@ -146,9 +135,6 @@
 	}
 }
 
-// Crowded reports whether more items wait than keep all slots in use.
-func Crowded(waiting, slots int) bool { return waiting > queueSetpoint(slots) }
-
 // Update ends a tick and moves the cutoff.
 func (r *Regulator) Update(s Sample) {
 	if s.Elapsed <= 0 {
@@ -183,9 +169,8 @@
 	switch {
 	case s.Waiting > setpoint:
 		excess := float64(s.Waiting) / float64(setpoint)
-		highest := min(r.cutoff, r.highestOffered())
-		lowest := highest.WithStep(-maxFall * excess * excess)
-		r.cutoff = min(highest, max(r.offered.Quantile(allowed), lowest))
+		lowest := r.cutoff.WithStep(-maxFall * excess * excess)
+		r.cutoff = min(r.cutoff, max(r.offered.Quantile(allowed), lowest))
 	case r.cutoff < priority.AdmitAll && r.admitted < allowed:
 		shortage := math.Log2(allowed / max(r.admitted, allowed/16))
 		r.cutoff = r.skipEmpty(r.cutoff.WithStep(min(max(r.gain()*shortage, minRise), maxRise)))
@@ -228,17 +213,6 @@
 	r.admitted = r.admitted*keepAdmitted + below/elapsed.Seconds()*(1-keepAdmitted)
 }
 
-// highestOffered is the highest score offered lately up to the cutoff. A fall starts there:
-// above it nothing is refused.
-func (r *Regulator) highestOffered() priority.Cutoff {
-	for class := min(int(r.cutoff), priority.Classes-1); class >= 0; class-- {
-		if highest := r.maxScore[class]; highest > priority.Score(class) {
-			return priority.Cutoff(highest)
-		}
-	}
-	return r.cutoff
-}
-
 // skipEmpty moves a cutoff above all scores offered lately in its class to the
 // start of the next, less important class.
 func (r *Regulator) skipEmpty(cutoff priority.Cutoff) priority.Cutoff {
--- a/internal/policy/overload/overload.go
+++ b/internal/policy/overload/overload.go
@@ -139,12 +139,6 @@
 // Cutoff is the cutoff of this node, without downstream services.
 func (c *Controller) Cutoff() priority.Cutoff { return c.admission.Cutoff() }
 
-// InnerFraction is the recent fraction of inner calls among the calls offered.
-func (c *Controller) InnerFraction() float64 { return c.admission.InnerFraction() }
-
-// Adopt takes the cutoff that the nodes of the service agree on.
-func (c *Controller) Adopt(cutoff priority.Cutoff) { c.admission.Adopt(cutoff) }
-
 // Downstream lists the cutoffs of the downstream services that calls of a route
 // use, the lowest for each service, and the calls that they make, sorted by name.
 func (c *Controller) Downstream(now time.Time, route string, downstream DownstreamFunc) []balancer.Downstream {
--- a/internal/policy/priority/priority.go
+++ b/internal/policy/priority/priority.go
@@ -88,17 +88,6 @@
 	return Cutoff(lowered) <= c && c > Cutoff(math.Floor(float64(s)))
 }
 
-// startedTolerance is how far above the cutoff the scores of root requests may be whose runs
-// have started, in doublings of the rank. The cutoff moves while they run.
-const startedTolerance = 0.5
-
-// AdmitsStarted reports whether the inner calls of a root request with this score are
-// admitted.
-func (c Cutoff) AdmitsStarted(root Score) bool {
-	lowered := math.Max(float64(root)-startedTolerance/octaves, math.Floor(float64(root)))
-	return Cutoff(lowered) <= c
-}
-
 // Relaxed returns the cutoff to assume for a node whose last report expired a
 // while ago. It starts at the lowest score of the class and rises with time, so
 // that higher ranks are admitted again step by step.
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -164,8 +164,6 @@
 	// Downstream is the known cutoffs that inner calls of the route meet at other
 	// services.
 	Downstream []balancer.Downstream
-	// Pressure is a report of short services, see pressure.Service; nil for none.
-	Pressure json.RawMessage
 }
 
 // Fractions are encoded as integers, multiplied by these factors. They go with
@@ -194,7 +192,6 @@
 	TargetRate  float64             `json:"rate,omitempty"`
 	TargetLeft  bool                `json:"off,omitempty"`
 	Downstream  []encodedDownstream `json:"below,omitempty"`
-	Pressure    json.RawMessage     `json:"short,omitempty"`
 	// Kind is "whole", "refused" or "lost".
 	Kind   string         `json:"kind"`
 	Reason failure.Reason `json:"why,omitempty"`
@@ -249,7 +246,7 @@
 func Encode(o Outcome, load Load) (*httpconn.Response, error) {
 	r := encodedResult{
 		Load: int64(load.Load * fractionFactor), Cutoff: int64(load.Cutoff * scoreFactor), ServiceTime: int64(load.ServiceTime * serviceTimeFactor),
-		Pace: int64(load.Pace * fractionFactor), Held: int64(load.Held * serviceTimeFactor), TargetRate: load.TargetRate, TargetLeft: load.TargetLeft, Pressure: load.Pressure,
+		Pace: int64(load.Pace * fractionFactor), Held: int64(load.Held * serviceTimeFactor), TargetRate: load.TargetRate, TargetLeft: load.TargetLeft,
 	}
 	for _, b := range load.Downstream {
 		r.Downstream = append(r.Downstream, encodedDownstream{b.Service, int64(b.Cutoff * scoreFactor), int64(b.Calls * fractionFactor)})
@@ -285,7 +282,7 @@
 	resp.Header.Del(resultHeader)
 	load := Load{
 		Load: float64(r.Load) / fractionFactor, Cutoff: priority.Cutoff(r.Cutoff) / scoreFactor, ServiceTime: float64(r.ServiceTime) / serviceTimeFactor,
-		Pace: float64(r.Pace) / fractionFactor, Held: float64(r.Held) / serviceTimeFactor, TargetRate: r.TargetRate, TargetLeft: r.TargetLeft, Pressure: r.Pressure,
+		Pace: float64(r.Pace) / fractionFactor, Held: float64(r.Held) / serviceTimeFactor, TargetRate: r.TargetRate, TargetLeft: r.TargetLeft,
 	}
 	for _, b := range r.Downstream {
 		load.Downstream = append(load.Downstream, balancer.Downstream{
--- a/internal/traffic/inbound/inbound.go
+++ b/internal/traffic/inbound/inbound.go
@@ -18,12 +18,10 @@
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/departure"
 	"chestnutshed.example/chestnutshed/internal/fleet/evacuation"
-	"chestnutshed.example/chestnutshed/internal/fleet/pressure"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/rejection"
 	"chestnutshed.example/chestnutshed/internal/policy/admission"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
-	"chestnutshed.example/chestnutshed/internal/policy/chain"
 	"chestnutshed.example/chestnutshed/internal/policy/coldstart"
 	"chestnutshed.example/chestnutshed/internal/policy/connreuse"
 	"chestnutshed.example/chestnutshed/internal/policy/correlation"
@@ -94,9 +92,6 @@
 	retries          *retrybudget.Budget
 	rationing        *rationing.Controller
 	rejections       *rejection.Service
-	pressure         *pressure.Service
-	// runs measures what completed runs of the target call.
-	runs *chain.Meter
 	// rationedAt is when updateRationing last ran. Only its goroutine uses it.
 	rationedAt  time.Time
 	targetCount func(service string) int
@@ -173,8 +168,6 @@
 	Quarantine *quarantine.Service
 	// Rejections knows which services reject calls at their targets.
 	Rejections *rejection.Service
-	// Pressure knows which services are short.
-	Pressure *pressure.Service
 	// ResponseBudget bounds the memory used by large responses.
 	ResponseBudget *httpconn.Budget
 	// OwnZone returns the state of the target's availability zone. The target gets work
@@ -190,7 +183,7 @@
 // New returns the service for one target.
 func New(o Options, d call.Dialect, set *metrics.Set, log *logrus.Entry) *Service {
 	s := &Service{
-		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), rationing: rationing.New(), rejections: o.Rejections, pressure: o.Pressure, runs: chain.NewMeter(), targetCount: o.TargetCount, downstream: o.Downstream,
+		dialect: d, log: log, onChange: o.OnChange, retries: retrybudget.New(o.Retries), rationing: rationing.New(), rejections: o.Rejections, targetCount: o.TargetCount, downstream: o.Downstream,
 		ownZone: o.OwnZone, coldBound: o.ColdBound, zone: o.OwnZone(clock.Now()),
 		knee: knee.New(), bound: 1, startedAt: clock.Now(), backlogged: o.Backlogged, synced: o.Synced, hasLeft: o.HasLeft, departures: o.Departures, health: newHealthCheck(o.Address, o.HealthPath), target: lifecycle.AwaitingHistory(),
 		overload: overload.New(admission.Sidecar()), waiting: map[uint64]chan decision{}, serviceTimes: latency.New(clock.Now()),
@@ -398,7 +391,6 @@
 	parent, ok := s.runningCalls.FindParent(now, child.Route, deadline, rand.Float64())
 	if parent.RouteLikely {
 		s.overload.RecordInnerCall(now, parent.Route, child)
-		s.runs.Call(parent.Serial, chain.Child{Service: child.Service, Route: child.Route})
 	}
 	return parent, ok
 }
@@ -474,7 +466,7 @@
 	}
 	verdict, changes := s.overload.Offer(now, admission.Request{
 		ID: id, Route: c.Route, Score: c.Score, RootScore: c.RootScore, RootCertain: c.RootCertain, Organisation: c.Organisation,
-		Share: 1, Depth: c.Depth, Deadline: deadline, Again: c.QueueTimeoutMS == 0,
+		Share: 1, Depth: c.Depth, Deadline: deadline,
 	}, c.Forced, s.downstreamAt(now))
 	var ch chan decision
 	if _, waits := verdict.(admission.Wait); waits {
@@ -629,7 +621,6 @@
 	}
 	load := s.Load(c)
 	load.Held = clock.Now().Sub(r.Received).Seconds()
-	load.Pressure = s.pressure.ResultNote(clock.Now())
 	resp, err := call.Encode(outcome, load)
 	if err != nil {
 		s.log.WithError(err).Error("could not encode an outcome for a peer")
@@ -645,12 +636,10 @@
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
 	k.Every(cutoff.Tick, func(context.Context) {
 		now := clock.Now()
-		s.adoptPressure(now)
 		s.mu.Lock()
 		s.applyKnee(now)
 		s.notifyWaiting(s.overload.Tick(now))
 		s.mu.Unlock()
-		s.reportPressure(now)
 		s.updateRationing(now)
 	})
 	k.Every(zoneInterval, s.watchZone)
@@ -670,33 +659,6 @@
 	return dials
 }
 
-// minInner is the fraction of inner calls from which the target counts as part of chains.
-const minInner = 0.05
-
-// adoptPressure tells the admission what the nodes of the target's service agree on.
-func (s *Service) adoptPressure(now time.Time) {
-	service := s.Target().Last.Service
-	agreed, ok := s.pressure.Get(now, service)
-	if !ok {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.overload.Adopt(agreed.Cutoff)
-}
-
-// reportPressure tells the other nodes how short the target is, if it is part of chains.
-func (s *Service) reportPressure(now time.Time) {
-	target := s.Target()
-	s.mu.Lock()
-	own := chain.Pressure{Cutoff: s.overload.Cutoff()}
-	ok := target.State == lifecycle.Ready && !s.draining && s.overload.InnerFraction() >= minInner
-	s.mu.Unlock()
-	if ok {
-		s.pressure.Measure(now, target.Last.Service, own)
-	}
-}
-
 // updateRationing decides which calls may be retried from what this target and the others
 // of its service reject.
 func (s *Service) updateRationing(now time.Time) {
--- a/internal/traffic/inbound/send.go
+++ b/internal/traffic/inbound/send.go
@@ -51,7 +51,6 @@
 	if resp != nil && resp.Status < http.StatusMultipleChoices {
 		s.recordKnee(now, began, c, occupied)
 	}
-	s.recordCompleted(now, id, c.Route, resp != nil && resp.Status < http.StatusInternalServerError)
 	lost := err != nil && ctx.Err() == nil && !errors.Is(err, httpconn.ErrNotSent)
 	s.crashes.end(now, id, lost)
 	if lost {
@@ -196,7 +195,6 @@
 		s.rationing.RecordFirst(rootScore(c))
 	}
 	s.overload.RecordRun(now, c.Route)
-	s.runs.Start(id)
 	s.running++
 	s.retrySum += c.RetryFraction
 	s.serviceTimes.Start(now, c.Route)
@@ -204,16 +202,6 @@
 	return s.running
 }
 
-// recordCompleted learns the profile of a route from a run that has ended.
-func (s *Service) recordCompleted(now time.Time, id uint64, route string, completed bool) {
-	s.mu.Lock()
-	profile, ok := s.runs.End(now, id, route, completed)
-	s.mu.Unlock()
-	if ok {
-		s.pressure.Learn(now, route, profile)
-	}
-}
-
 // rootScore returns the score of the caller's request that a call belongs to.
 func rootScore(c call.Call) priority.Score {
 	if c.Depth > 1 {
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -17,7 +17,6 @@
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/fleet/evacuation"
-	"chestnutshed.example/chestnutshed/internal/fleet/pressure"
 	"chestnutshed.example/chestnutshed/internal/fleet/quarantine"
 	"chestnutshed.example/chestnutshed/internal/fleet/quota"
 	"chestnutshed.example/chestnutshed/internal/fleet/rejection"
@@ -108,8 +107,6 @@
 	Rejections *rejection.Service
 	// Evacuations knows the availability zones that get no work.
 	Evacuations *evacuation.Service
-	// Pressure knows which services are short, and which ones routes use.
-	Pressure *pressure.Service
 	// ResponseBudget bounds the memory used by large responses.
 	ResponseBudget *httpconn.Budget
 	// Backlogged reports whether responses that wait for slow readers take too much
@@ -142,8 +139,6 @@
 	targets      targets
 	// rejectionsAt is when the balancer last got the services that reject calls.
 	rejectionsAt time.Time
-	// chainsAt is when the balancer last got the pressures and profiles.
-	chainsAt time.Time
 
 	duration *metrics.Histogram
 }
@@ -323,8 +318,6 @@
 	sweepInterval = 10 * time.Second
 	// rejectionInterval is the time between updates of which services reject calls.
 	rejectionInterval = 100 * time.Millisecond
-	// chainsInterval is the time between updates of pressures and profiles.
-	chainsInterval = 10 * time.Millisecond
 )
 
 // Name implements kernel.Service.
--- a/internal/traffic/relay/remote.go
+++ b/internal/traffic/relay/remote.go
@@ -12,7 +12,6 @@
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/roster"
 	"chestnutshed.example/chestnutshed/internal/policy/balancer"
-	"chestnutshed.example/chestnutshed/internal/policy/priority"
 	"chestnutshed.example/chestnutshed/internal/traffic/call"
 	"chestnutshed.example/chestnutshed/internal/traffic/httpconn"
 	"github.com/sirupsen/logrus"
@@ -34,10 +33,8 @@
 		s.rejectionsAt = now
 		s.balancer.SetRejecting(s.Rejections.Rejecting(now))
 	}
-	s.updateChains(now)
 	pick, refusal := s.balancer.Choose(now, s.candidates(now, all), balancer.Call{
-		Route: q.route.Name, Service: q.call.Service, Score: q.call.Score, RootScore: certainRoot(q.call), Depth: q.call.Depth,
-		Objective: q.route.Objective, Remaining: q.deadline.Sub(now), Repeatable: q.route.Idempotent, Retry: len(q.tried) > 0, Tried: tried,
+		Route: q.route.Name, Service: q.call.Service, Score: q.call.Score, Depth: q.call.Depth, Objective: q.route.Objective, Remaining: q.deadline.Sub(now), Repeatable: q.route.Idempotent, Retry: len(q.tried) > 0, Tried: tried,
 	})
 	if refusal == nil {
 		s.balancer.Sent(pick.Candidate.ID)
@@ -46,25 +43,9 @@
 	return pick, refusal
 }
 
-// updateChains passes the pressures and profiles to the balancer. The caller holds mu.
-func (s *Service) updateChains(now time.Time) {
-	if now.Sub(s.chainsAt) > chainsInterval {
-		s.chainsAt = now
-		s.balancer.SetChains(s.Pressure.View(now))
-	}
-}
-
-// certainRoot returns the score of the root request of an inner call, 0 if it is not
-// certain.
-func certainRoot(c call.Call) priority.Score {
-	if c.Depth > 1 && c.RootCertain {
-		return c.RootScore
-	}
-	return 0
-}
-
 // candidates converts roster entries to candidates, without those in evacuated
-// availability zones. The result is valid until the next call. The caller holds mu.
+// availability zones. The result is valid until the
+// next call. The caller holds mu.
 func (s *Service) candidates(now time.Time, list []roster.Serving) []balancer.Candidate {
 	evacuating := s.Evacuations.Any()
 	s.candidateBuf = s.candidateBuf[:0]
@@ -116,9 +97,6 @@
 	if err == nil {
 		outcome, load, decodeErr := call.Decode(resp)
 		if decodeErr == nil {
-			if load.Pressure != nil {
-				s.Pressure.Noted(clock.Now(), id, load.Pressure)
-			}
 			s.recordAnswer(to, q, load, hop(clock.Now().Sub(began), load))
 			s.recordTarget(clock.Now(), to, outcome, load)
 			return outcome
@@ -163,7 +141,6 @@
 	all := s.Roster.Serving(now, service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.updateChains(now)
 	return s.balancer.Downstream(now, s.balancer.Met(s.candidates(now, all), service, route), service, route)
 }
 
