review: one comparison of lists by name for manifests and rules

Routes, services and organisations of manifests and of rules each walked both lists for what was removed, new or kept. One function does that for all six. The beginning of a digest that names a key was cut off in two places with two constants; manifest.ShortDigest does it for both. Output as before (golden files).

--- a/internal/config/lint/lint.go
+++ b/internal/config/lint/lint.go
@@ -175,9 +175,6 @@
 	}
 }
 
-// digestLength is the number of characters shown of a key's digest.
-const digestLength = len("sha256:") + 8
-
 // ShortDigest returns the beginning of a key's digest, which names the key without showing
 // it.
-func ShortDigest(key string) string { return manifest.Digest(key)[:digestLength] }
+func ShortDigest(key string) string { return manifest.ShortDigest(manifest.Digest(key)) }
--- a/internal/config/manifest/manifest.go
+++ b/internal/config/manifest/manifest.go
@@ -317,3 +317,9 @@
 	sum := sha256.Sum256([]byte(key))
 	return digestPrefix + hex.EncodeToString(sum[:])
 }
+
+// shortDigestLength is the number of characters in which a digest is shown.
+const shortDigestLength = len(digestPrefix) + 8
+
+// ShortDigest returns the beginning of a digest, which is enough to tell keys apart.
+func ShortDigest(digest string) string { return digest[:shortDigestLength] }
--- a/internal/operate/review/review.go
+++ b/internal/operate/review/review.go
@@ -42,9 +42,6 @@
 	return fmt.Sprintf("%s %-12s %-20s %s", mark, c.Kind, c.Name, c.Text)
 }
 
-// digestPrefixLen is the number of characters shown of a key's digest.
-const digestPrefixLen = len("sha256:") + 8
-
 type changeList struct{ changes []Change }
 
 func (l *changeList) add(kind Kind, name string, risky bool, format string, args ...any) {
@@ -67,22 +64,18 @@
 }
 
 func (l *changeList) organisations(old, next manifest.Manifest) {
-	before := byName(old.Organisations, func(o manifest.Organisation) string { return o.Name })
-	after := byName(next.Organisations, func(o manifest.Organisation) string { return o.Name })
-	for _, o := range old.Organisations {
-		if _, ok := after[o.Name]; !ok {
+	match(old.Organisations, next.Organisations, func(o manifest.Organisation) string { return o.Name }, matched[manifest.Organisation]{
+		removed: func(o manifest.Organisation) {
 			l.add(Organisation, o.Name, true, "removed with %d keys", len(o.Keys))
-		}
-	}
-	for _, o := range next.Organisations {
-		prev, ok := before[o.Name]
-		if !ok {
+		},
+		added: func(o manifest.Organisation) {
 			l.add(Organisation, o.Name, false, "new: %g/s, burst %g, share %g, %d keys", o.Rate, o.Burst, o.Share, len(o.Keys))
-			continue
-		}
-		l.quotas(prev, o)
-		l.keys(o.Name, prev.Keys, o.Keys, func(digest string) string { return digest[:digestPrefixLen] })
-	}
+		},
+		kept: func(prev, o manifest.Organisation) {
+			l.quotas(prev, o)
+			l.keys(o.Name, prev.Keys, o.Keys, manifest.ShortDigest)
+		},
+	})
 }
 
 func (l *changeList) quotas(prev, o manifest.Organisation) {
@@ -115,36 +108,21 @@
 }
 
 func (l *changeList) services(old, next manifest.Manifest) {
-	name := func(s manifest.Service) string { return s.Name }
-	before, after := byName(old.Services, name), byName(next.Services, name)
-	for _, s := range old.Services {
-		if _, ok := after[s.Name]; !ok {
-			l.add(Service, s.Name, true, "removed")
-		}
-	}
-	for _, s := range next.Services {
-		if _, ok := before[s.Name]; !ok {
-			l.add(Service, s.Name, false, "new")
-		}
-	}
+	match(old.Services, next.Services, func(s manifest.Service) string { return s.Name }, matched[manifest.Service]{
+		removed: func(s manifest.Service) { l.add(Service, s.Name, true, "removed") },
+		added:   func(s manifest.Service) { l.add(Service, s.Name, false, "new") },
+		kept:    func(_, _ manifest.Service) {},
+	})
 }
 
 func (l *changeList) routes(old, next manifest.Manifest) {
-	name := func(r manifest.Route) string { return r.Name }
-	before, after := byName(old.Routes, name), byName(next.Routes, name)
-	for _, r := range old.Routes {
-		if _, ok := after[r.Name]; !ok {
-			l.add(Route, r.Name, true, "removed: %s %s", r.Method, r.Path)
-		}
-	}
-	for _, r := range next.Routes {
-		prev, ok := before[r.Name]
-		if !ok {
+	match(old.Routes, next.Routes, func(r manifest.Route) string { return r.Name }, matched[manifest.Route]{
+		removed: func(r manifest.Route) { l.add(Route, r.Name, true, "removed: %s %s", r.Method, r.Path) },
+		added: func(r manifest.Route) {
 			l.add(Route, r.Name, false, "new: %s %s to %s, %s", r.Method, r.Path, r.Service, r.Importance)
-			continue
-		}
-		l.route(prev, r)
-	}
+		},
+		kept: l.route,
+	})
 }
 
 func (l *changeList) route(prev, r manifest.Route) {
@@ -177,6 +155,31 @@
 	}
 }
 
+// matched is what is done with the entries of two lists: with those that are only in the old
+// or the new one, and with those in both.
+type matched[T any] struct {
+	removed, added func(T)
+	kept           func(prev, next T)
+}
+
+// match finds the entries of the same name in two lists, and goes through the old one and then
+// the new one in their order.
+func match[T any](old, next []T, name func(T) string, do matched[T]) {
+	before, after := byName(old, name), byName(next, name)
+	for _, v := range old {
+		if _, ok := after[name(v)]; !ok {
+			do.removed(v)
+		}
+	}
+	for _, v := range next {
+		if prev, ok := before[name(v)]; ok {
+			do.kept(prev, v)
+		} else {
+			do.added(v)
+		}
+	}
+}
+
 // byName indexes values by name.
 func byName[T any](all []T, name func(T) string) map[string]T {
 	m := make(map[string]T, len(all))
--- a/internal/operate/review/rules.go
+++ b/internal/operate/review/rules.go
@@ -31,21 +31,11 @@
 }
 
 func (l *changeList) ruleRoutes(old, next *rules.Set) {
-	name := func(r rules.Route) string { return r.Name }
-	before, after := byName(old.Routes, name), byName(next.Routes, name)
-	for _, r := range old.Routes {
-		if _, ok := after[r.Name]; !ok {
-			l.add(Route, r.Name, true, "removed: %s%s", r.Host, r.Prefix)
-		}
-	}
-	for _, r := range next.Routes {
-		prev, ok := before[r.Name]
-		if !ok {
-			l.add(Route, r.Name, false, "new: %s%s to %s", r.Host, r.Prefix, shares(r))
-			continue
-		}
-		l.ruleRoute(prev, r)
-	}
+	match(old.Routes, next.Routes, func(r rules.Route) string { return r.Name }, matched[rules.Route]{
+		removed: func(r rules.Route) { l.add(Route, r.Name, true, "removed: %s%s", r.Host, r.Prefix) },
+		added:   func(r rules.Route) { l.add(Route, r.Name, false, "new: %s%s to %s", r.Host, r.Prefix, shares(r)) },
+		kept:    l.ruleRoute,
+	})
 }
 
 func (l *changeList) ruleRoute(prev, r rules.Route) {
@@ -88,53 +78,44 @@
 }
 
 func (l *changeList) ruleServices(old, next *rules.Set) {
-	name := func(s rules.Service) string { return s.Name }
-	before, after := byName(old.Services, name), byName(next.Services, name)
-	for _, s := range old.Services {
-		if _, ok := after[s.Name]; !ok {
-			l.add(Service, s.Name, true, "removed")
-		}
-	}
-	for _, s := range next.Services {
-		prev, ok := before[s.Name]
-		switch {
-		case !ok:
-			l.add(Service, s.Name, false, "new")
-		case prev.Connections != s.Connections:
-			l.add(Service, s.Name, s.Connections < prev.Connections, "connections %d -> %d", prev.Connections, s.Connections)
-		}
-		if ok && prev.HealthPath != s.HealthPath {
-			l.add(Service, s.Name, false, "health path %q -> %q", prev.HealthPath, s.HealthPath)
-		}
-	}
+	match(old.Services, next.Services, func(s rules.Service) string { return s.Name }, matched[rules.Service]{
+		removed: func(s rules.Service) { l.add(Service, s.Name, true, "removed") },
+		added:   func(s rules.Service) { l.add(Service, s.Name, false, "new") },
+		kept: func(prev, s rules.Service) {
+			if prev.Connections != s.Connections {
+				l.add(Service, s.Name, s.Connections < prev.Connections, "connections %d -> %d", prev.Connections, s.Connections)
+			}
+			if prev.HealthPath != s.HealthPath {
+				l.add(Service, s.Name, false, "health path %q -> %q", prev.HealthPath, s.HealthPath)
+			}
+		},
+	})
 }
 
 func (l *changeList) ruleOrganisations(old, next *rules.Set) {
-	name := func(o rules.Organisation) string { return o.Name }
-	before, after := byName(old.Organisations, name), byName(next.Organisations, name)
-	for _, o := range old.Organisations {
-		if _, ok := after[o.Name]; !ok {
+	match(old.Organisations, next.Organisations, func(o rules.Organisation) string { return o.Name }, matched[rules.Organisation]{
+		removed: func(o rules.Organisation) {
 			l.add(Organisation, o.Name, true, "removed with %d keys", len(o.Keys))
-		}
-	}
-	for _, o := range next.Organisations {
-		prev, ok := before[o.Name]
-		if !ok {
+		},
+		added: func(o rules.Organisation) {
 			l.add(Organisation, o.Name, false, "new: %s, burst %g, %d keys", rate(o), o.Burst, len(o.Keys))
-			continue
-		}
-		if prev.Rate != o.Rate {
-			lower := o.Rate > 0 && (prev.Rate == 0 || o.Rate < prev.Rate)
-			l.add(Organisation, o.Name, lower, "rate %s -> %s", rate(prev), rate(o))
-		}
-		if prev.Burst != o.Burst {
-			l.add(Organisation, o.Name, o.Burst < prev.Burst, "burst %g -> %g", prev.Burst, o.Burst)
-		}
-		if prev.HasRank != o.HasRank || prev.Rank != o.Rank {
-			l.add(Importance, o.Name, true, "rank %s -> %s", rank(prev), rank(o))
-		}
-		l.keys(o.Name, prev.Keys, o.Keys, lint.ShortDigest)
+		},
+		kept: l.ruleOrganisation,
+	})
+}
+
+func (l *changeList) ruleOrganisation(prev, o rules.Organisation) {
+	if prev.Rate != o.Rate {
+		lower := o.Rate > 0 && (prev.Rate == 0 || o.Rate < prev.Rate)
+		l.add(Organisation, o.Name, lower, "rate %s -> %s", rate(prev), rate(o))
+	}
+	if prev.Burst != o.Burst {
+		l.add(Organisation, o.Name, o.Burst < prev.Burst, "burst %g -> %g", prev.Burst, o.Burst)
+	}
+	if prev.HasRank != o.HasRank || prev.Rank != o.Rank {
+		l.add(Importance, o.Name, true, "rank %s -> %s", rank(prev), rank(o))
 	}
+	l.keys(o.Name, prev.Keys, o.Keys, lint.ShortDigest)
 }
 
 func rate(o rules.Organisation) string {
