--- a/internal/config/confsync/confsync.go
+++ b/internal/config/confsync/confsync.go
@@ -22,6 +22,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/backoff"
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/core/poll"
 	"chestnutshed.example/chestnutshed/internal/core/ring"
 	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"github.com/sirupsen/logrus"
@@ -47,10 +48,6 @@
 	// anyRankFraction is the age at which a node of any rank polls the store.
 	anyRankFraction = 0.54
 
-	// callTimeout is the timeout of a store request, in addition to its wait.
-	callTimeout = 1200 * time.Millisecond
-	// checkInterval is how often a node checks whether a poll is due.
-	checkInterval = 100 * time.Millisecond
 	// minBackoff and maxBackoff limit the backoff after a failed store request,
 	// before jitter.
 	minBackoff = 100 * time.Millisecond
@@ -246,15 +243,7 @@
 
 // pollLoop polls the store whenever a poll is due.
 func (s *Service) pollLoop(ctx context.Context) error {
-	for ctx.Err() == nil {
-		now := clock.Now()
-		if !s.due(now) {
-			kernel.Pause(ctx, checkInterval)
-			continue
-		}
-		err := s.poll(ctx)
-		s.recordResult(clock.Now(), err)
-	}
+	poll.Loop(ctx, s.due, s.poll, s.recordResult)
 	return nil
 }
 
@@ -283,7 +272,7 @@
 // reads the full configuration, later ones wait for a change. It returns an error
 // only if the request fails, not if the configuration is invalid.
 func (s *Service) poll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, s.ageFraction(watchFraction)+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.ageFraction(watchFraction)+poll.CallTimeout)
 	defer cancel()
 	s.mu.Lock()
 	since, sinceEra := s.revision, s.era
--- a/internal/fleet/evacuation/evacuation.go
+++ b/internal/fleet/evacuation/evacuation.go
@@ -20,6 +20,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/backoff"
 	"chestnutshed.example/chestnutshed/internal/core/clock"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/core/poll"
 	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"github.com/goccy/go-json"
 	"github.com/sirupsen/logrus"
@@ -38,10 +39,6 @@
 	firstRankFraction = 0.05
 	rankStepFraction  = 0.45
 
-	// callTimeout is the timeout of a call to the store, in addition to its wait.
-	callTimeout = 1200 * time.Millisecond
-	// checkInterval is how often a node checks whether it is to ask the store.
-	checkInterval = 100 * time.Millisecond
 	// minBackoff and maxBackoff limit the backoff after a failed call, before jitter.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = 2 * time.Second
@@ -289,14 +286,8 @@
 // pollLoop asks the store whenever that is due.
 func (s *Service) pollLoop(ctx context.Context) error {
 	kernel.Pause(ctx, helloTime+rand.N(helloTime))
-	for ctx.Err() == nil {
-		now := clock.Now()
-		if !s.due(now, s.fleet.ConfirmRank(now)) {
-			kernel.Pause(ctx, checkInterval)
-			continue
-		}
-		s.recordResult(clock.Now(), s.poll(ctx))
-	}
+	due := func(now time.Time) bool { return s.due(now, s.fleet.ConfirmRank(now)) }
+	poll.Loop(ctx, due, s.poll, s.recordResult)
 	return nil
 }
 
@@ -318,7 +309,7 @@
 // poll makes one call to the store and applies the result.
 func (s *Service) poll(ctx context.Context) error {
 	wait := s.fraction(watchFraction)
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+poll.CallTimeout)
 	defer cancel()
 	s.mu.Lock()
 	view, list := s.current.Load().view, s.relist
