admission tests: one load for targets with a bound on their rate

The test of cold targets had a copy of the load of TestRateLimitKeepsImportance. Both run rateLoad now; steps, bounds and assertions are the same.

--- a/internal/policy/admission/admission_test.go
+++ b/internal/policy/admission/admission_test.go
@@ -403,30 +403,41 @@
 	is.Equal(verdict, admission.Start{})
 }
 
-// A target with many slots names a rate far below the load. The rate is kept and used,
-// requests that are more important get it first, and refusals come at once.
-func TestRateLimitKeepsImportance(t *testing.T) {
-	is := is.New(t)
-	const (
-		perSecond = 10
-		seconds   = 20
-		hold      = 200 * time.Millisecond
-		step      = 10 * time.Millisecond
-	)
-	c := admission.New(admission.Sidecar())
-	c.SetSlots(start, 36)
-	c.SetRate(start, c.Rate().WithNamed(start, perSecond))
-	important, starts := map[uint64]bool{}, map[uint64]time.Time{}
-	served, offered, id := 0, 0, uint64(0)
+// rateLoad offers a request in each step to a target that bounds its rate. Some are
+// important, all hold a slot for the same time.
+type rateLoad struct {
+	duration, step, hold time.Duration
+	// importantEvery is the time between important requests.
+	importantEvery time.Duration
+}
+
+// rateRun is what became of a rateLoad.
+type rateRun struct {
+	// starts are the times at which requests started, in their order, and full the highest
+	// load that was reported.
+	starts []time.Time
+	full   float64
+	// offered and served are the numbers of important requests.
+	offered, served int
+}
+
+func (l rateLoad) run(c *admission.Controller) rateRun {
+	var r rateRun
+	important, began := map[uint64]bool{}, map[uint64]time.Time{}
+	id := uint64(0)
 	begin := func(now time.Time, ids ...uint64) {
 		for _, id := range ids {
-			starts[id] = now
+			began[id] = now
+			r.starts = append(r.starts, now)
+			if important[id] {
+				r.served++
+			}
 		}
 	}
-	for at := time.Duration(0); at < seconds*time.Second; at += step {
+	for at := time.Duration(0); at < l.duration; at += l.step {
 		now := start.Add(at)
-		for id, began := range starts {
-			if now.Sub(began) == hold {
+		for id, since := range began {
+			if now.Sub(since) == l.hold {
 				begin(now, c.Release(now, id, admission.Answered).Started...)
 			}
 		}
@@ -434,27 +445,35 @@
 			begin(now, c.Tick(now).Started...)
 		}
 		importance := manifest.Low
-		if at%(200*time.Millisecond) == 0 { // half of the rate
-			importance = manifest.High
-		}
 		id++
-		important[id] = importance == manifest.High
+		if at%l.importantEvery == 0 {
+			importance, important[id] = manifest.High, true
+			r.offered++
+		}
 		verdict, changes := c.Offer(now, request(id, importance, rand.Float64(), now.Add(time.Minute)))
 		if _, ok := verdict.(admission.Start); ok {
 			begin(now, id)
 		}
 		begin(now, changes.Started...)
+		r.full = max(r.full, c.Load(now))
 	}
-	for id, is := range important {
-		if is {
-			offered++
-			if _, ok := starts[id]; ok {
-				served++
-			}
-		}
-	}
-	is.True(len(starts) <= perSecond*seconds+3)
-	is.True(len(starts) >= perSecond*seconds*9/10)
-	is.True(served >= offered-1) // the last one may wait
+	return r
+}
+
+// A target with many slots names a rate far below the load. The rate is kept and used,
+// requests that are more important get it first, and refusals come at once.
+func TestRateLimitKeepsImportance(t *testing.T) {
+	is := is.New(t)
+	const perSecond, seconds = 10, 20
+	c := admission.New(admission.Sidecar())
+	c.SetSlots(start, 36)
+	c.SetRate(start, c.Rate().WithNamed(start, perSecond))
+	r := rateLoad{
+		duration: seconds * time.Second, step: 10 * time.Millisecond, hold: 200 * time.Millisecond,
+		importantEvery: 200 * time.Millisecond, // half of the rate
+	}.run(c)
+	is.True(len(r.starts) <= perSecond*seconds+3)
+	is.True(len(r.starts) >= perSecond*seconds*9/10)
+	is.True(r.served >= r.offered-1) // the last one may wait
 	is.True(c.State().Waiting <= 3)
 }
--- a/internal/policy/admission/cold_test.go
+++ b/internal/policy/admission/cold_test.go
@@ -1,14 +1,12 @@
 package admission_test
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/config/manifest"
 	"chestnutshed.example/chestnutshed/internal/policy/admission"
 	"chestnutshed.example/chestnutshed/internal/policy/coldstart"
-	"chestnutshed.example/chestnutshed/internal/policy/cutoff"
 	"github.com/matryer/is"
 )
 
@@ -17,66 +15,27 @@
 // reports that it is full although hardly any of its slots are in use.
 func TestColdTargetKeepsImportance(t *testing.T) {
 	is := is.New(t)
-	const (
-		coldTime = 3 * time.Second
-		hold     = 100 * time.Millisecond
-		step     = 5 * time.Millisecond
-	)
+	const coldTime = 3 * time.Second
 	c := admission.New(admission.Sidecar())
 	c.SetSlots(start, 158)
 	c.Cold().SetBound(coldstart.Bound{Time: coldTime, PerSecond: 14, Overage: 1.5, Slack: 8})
 	c.Cold().SetWarmth(coldstart.Warmth{}.WithStart(start, coldTime))
-	important, starts := map[uint64]bool{}, map[uint64]time.Time{}
-	var times []time.Time
-	offered, id, full := 0, uint64(0), 0.0
-	begin := func(now time.Time, ids ...uint64) {
-		for _, id := range ids {
-			starts[id] = now
-			times = append(times, now)
-		}
-	}
-	for at := time.Duration(0); at < coldTime; at += step {
-		now := start.Add(at)
-		for id, began := range starts {
-			if now.Sub(began) == hold {
-				begin(now, c.Release(now, id, admission.Answered).Started...)
-			}
-		}
-		if at%cutoff.Tick == 0 {
-			begin(now, c.Tick(now).Started...)
-		}
-		importance := manifest.Low
-		if at%(100*time.Millisecond) == 0 { // half of the bound
-			importance = manifest.High
-			offered++
-		}
-		id++
-		important[id] = importance == manifest.High
-		verdict, changes := c.Offer(now, request(id, importance, rand.Float64(), now.Add(time.Minute)))
-		if _, ok := verdict.(admission.Start); ok {
-			begin(now, id)
-		}
-		begin(now, changes.Started...)
-		full = max(full, c.Load(now))
-	}
-	served := 0
-	for id := range starts {
-		if important[id] {
-			served++
-		}
-	}
-	for i := range times {
+	r := rateLoad{
+		duration: coldTime, step: 5 * time.Millisecond, hold: 100 * time.Millisecond,
+		importantEvery: 100 * time.Millisecond, // half of the bound
+	}.run(c)
+	for i := range r.starts {
 		n := 0
-		for _, later := range times[i:] {
-			if later.Sub(times[i]) < time.Second {
+		for _, later := range r.starts[i:] {
+			if later.Sub(r.starts[i]) < time.Second {
 				n++
 			}
 		}
 		is.True(n <= 21+8)
 	}
-	is.True(len(starts) >= 14*3)
-	is.True(served >= offered-2) // the last ones may wait
-	is.True(full >= 1)
+	is.True(len(r.starts) >= 14*3)
+	is.True(r.served >= r.offered-2) // the last ones may wait
+	is.True(r.full >= 1)
 }
 
 // All slots are free, but the rate is used up: a request waits, and starts once a token is
