quota: Take is for any request; relay: one place for a request's class

Take for a first request was left for tests only. They name the request now, with the same rank. The class of a request was worked out in three places.

--- a/internal/fleet/quota/places_test.go
+++ b/internal/fleet/quota/places_test.go
@@ -45,7 +45,7 @@
 			for time.Now().Before(end) {
 				group.Go(func() {
 					r := quota.Request{Rank: 1, Reach: c.Reach()}
-					got := n.service.TakeFor(context.Background(), time.Now(), &org, r)
+					got := n.service.Take(context.Background(), time.Now(), &org, r)
 					p.count(got, r.Turn)
 					if got != quota.Exceeded {
 						return
@@ -55,7 +55,7 @@
 					if r.Turn = returns.WithoutPlace; told.Place {
 						r.Turn = returns.WithPlace
 					}
-					p.count(n.service.TakeFor(context.Background(), time.Now(), &org, r), r.Turn)
+					p.count(n.service.Take(context.Background(), time.Now(), &org, r), r.Turn)
 				})
 				time.Sleep(time.Duration(rand.ExpFloat64() / perNode * float64(time.Second)))
 			}
@@ -101,7 +101,7 @@
 			for ; time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 				group.Go(func() {
 					r := quota.Request{Rank: 2, Reach: patient.Reach()}
-					if n.service.TakeFor(context.Background(), time.Now(), &org, r) == quota.Exceeded && n.service.Refuse(time.Now(), &org, r, patient, 0).Place {
+					if n.service.Take(context.Background(), time.Now(), &org, r) == quota.Exceeded && n.service.Refuse(time.Now(), &org, r, patient, 0).Place {
 						placed++
 					}
 				})
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -313,12 +313,6 @@
 // would leave none in the time of more important ones.
 func (r Request) mayPlace() bool { return r.Rank <= lowestPlacedRank }
 
-// Take spends one token of an organisation for a first request of the given rank, 0
-// being the highest. It waits at most drawTimeout for the holder's answer.
-func (s *Service) Take(ctx context.Context, now time.Time, org *rules.Organisation, rank int) Result {
-	return s.TakeFor(ctx, now, org, Request{Rank: rank})
-}
-
 // Refuse returns what a caller that got no token is told; u is uniform in [0, 1).
 func (s *Service) Refuse(now time.Time, org *rules.Organisation, r Request, c returns.Caller, u float64) returns.Told {
 	s.mu.Lock()
@@ -342,8 +336,9 @@
 	return class{Organisation: org.Name, LowRank: r.Rank > 0, Turn: r.Turn}
 }
 
-// TakeFor is Take for any request.
-func (s *Service) TakeFor(ctx context.Context, now time.Time, org *rules.Organisation, r Request) Result {
+// Take spends one token of an organisation. It waits at most drawTimeout for the holder's
+// answer.
+func (s *Service) Take(ctx context.Context, now time.Time, org *rules.Organisation, r Request) Result {
 	if org.Rate <= 0 {
 		return Taken
 	}
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -201,7 +201,7 @@
 				group.Add(1)
 				go func() {
 					defer group.Done()
-					got := n.service.Take(context.Background(), time.Now(), &org, rank)
+					got := n.service.Take(context.Background(), time.Now(), &org, quota.Request{Rank: rank})
 					mu.Lock()
 					defer mu.Unlock()
 					if got == quota.Exceeded {
@@ -328,7 +328,7 @@
 		const window, fallbackFraction = 4 * time.Second, 0.4
 		taken := 0
 		for end := time.Now().Add(window); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-			if alone.Take(context.Background(), time.Now(), &org, 0) != quota.Exceeded {
+			if alone.Take(context.Background(), time.Now(), &org, quota.Request{}) != quota.Exceeded {
 				taken++
 			}
 		}
@@ -360,7 +360,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newNetwork(t, 1)
-		is.Equal(w.nodes["n00"].service.Take(context.Background(), time.Now(), &rules.Organisation{Name: "free"}, 0), quota.Taken)
+		is.Equal(w.nodes["n00"].service.Take(context.Background(), time.Now(), &rules.Organisation{Name: "free"}, quota.Request{}), quota.Taken)
 	})
 }
 
--- a/internal/fleet/quota/search_test.go
+++ b/internal/fleet/quota/search_test.go
@@ -422,7 +422,7 @@
 		return
 	}
 	now := p.now()
-	if p.stoppedNow() || p.service.Take(context.Background(), now, &searchOrg, 0) == quota.Exceeded {
+	if p.stoppedNow() || p.service.Take(context.Background(), now, &searchOrg, quota.Request{}) == quota.Exceeded {
 		return
 	}
 	f.mu.Lock()
--- a/internal/traffic/relay/bodies.go
+++ b/internal/traffic/relay/bodies.go
@@ -26,14 +26,14 @@
 	placed := s.told.Expects(now, q.caller(now))
 	s.mu.Unlock()
 	return intake.Body{
-		Organisation: q.org.Name, Class: score(q.org, q.route, 0).Class(), Placed: placed, Until: q.start.Add(q.route.Objective / waitDivisor),
+		Organisation: q.org.Name, Class: q.class(), Placed: placed, Until: q.start.Add(q.route.Objective / waitDivisor),
 	}, true
 }
 
 // bodyRoom is the resource that bodies of a request's class wait for: the memory of this node,
 // whatever their service.
 func (q *request) bodyRoom() returns.Resource {
-	return returns.Resource{Class: score(q.org, q.route, 0).Class()}
+	return returns.Resource{Class: q.class()}
 }
 
 // passBody counts a large body that got room.
--- a/internal/traffic/relay/relay.go
+++ b/internal/traffic/relay/relay.go
@@ -207,7 +207,7 @@
 	}
 	if q.org != nil {
 		s.claimReturn(clock.Now(), q)
-		got := s.Quota.TakeFor(ctx, clock.Now(), q.org, q.quotaRequest())
+		got := s.Quota.Take(ctx, clock.Now(), q.org, q.quotaRequest())
 		q.quotaResult = got.String()
 		if got == quota.Exceeded {
 			return nil, s.refuseRate(clock.Now(), q)
@@ -286,6 +286,9 @@
 	return priority.NewGraded(importances[min(max(order, 0), len(importances)-1)], r.Rank, position)
 }
 
+// class is the class of the request's importance; 0 is the highest.
+func (q *request) class() int { return score(q.org, q.route, 0).Class() }
+
 // buildCall sets the call for serving nodes and how long it may wait for a slot.
 func (s *Service) buildCall(q *request) {
 	c := call.Call{
@@ -303,7 +306,7 @@
 	} else {
 		c.Organisation = q.org.Name
 		s.mu.Lock()
-		position := s.ranker.RelativeRank(now, rank.Flow{Organisation: q.org.Name, Class: score(q.org, q.route, 0).Class()}, max(q.org.Rate, 1), rand.Float64())
+		position := s.ranker.RelativeRank(now, rank.Flow{Organisation: q.org.Name, Class: q.class()}, max(q.org.Rate, 1), rand.Float64())
 		s.mu.Unlock()
 		if q.turn == returns.WithPlace {
 			position = 0
