httpconn: the number of connections is that of their reasons

The pool counted connections beside the ledger that counts them by reason. The bytes of a budget were asked for by tests only, since request bodies have their own gate; the method is in the test file now.

--- a/internal/policy/connreuse/connreuse.go
+++ b/internal/policy/connreuse/connreuse.go
@@ -166,6 +166,15 @@
 	return reason
 }
 
+// Total returns the number of new connections.
+func (l *Ledger) Total() uint64 {
+	total := uint64(0)
+	for _, n := range l.opened {
+		total += n
+	}
+	return total
+}
+
 // Counts returns the new connections by reason.
 func (l *Ledger) Counts() map[Reason]uint64 {
 	counts := map[Reason]uint64{}
--- a/internal/traffic/httpconn/budget.go
+++ b/internal/traffic/httpconn/budget.go
@@ -37,16 +37,6 @@
 	return b
 }
 
-// Used is the number of bytes taken.
-func (b *Budget) Used() int64 {
-	if b == nil {
-		return 0
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.bytes - b.free
-}
-
 // share returns an empty share for one body of a length, -1 if unknown. The budget calls
 // revoke at most once, when it gives the share to another body.
 func (b *Budget) share(length int64, revoke func()) *share {
--- a/internal/traffic/httpconn/budget_test.go
+++ b/internal/traffic/httpconn/budget_test.go
@@ -12,6 +12,13 @@
 	"github.com/matryer/is"
 )
 
+// used is the number of bytes taken.
+func (b *Budget) used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bytes - b.free
+}
+
 // The memory of a body that lost its share counted as free while its reader still held it,
 // so that bodies together exceeded the budget.
 func TestRevokedShareCountsUntilReleased(t *testing.T) {
@@ -32,9 +39,9 @@
 	is.True(!endless.acquire(1))
 	endless.release()
 	is.True(<-acquired)
-	is.Equal(b.Used(), int64(4))
+	is.Equal(b.used(), int64(4))
 	sound.release()
-	is.Equal(b.Used(), int64(0))
+	is.Equal(b.used(), int64(0))
 }
 
 // A body that waits for the memory of another one loses its own share meanwhile.
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -108,11 +108,11 @@
 	address string
 	options Options
 
-	mu             sync.Mutex
-	idle           []*clientConn
-	maxIdle        int
-	dials, resends uint64
-	ledger         connreuse.Ledger
+	mu      sync.Mutex
+	idle    []*clientConn
+	maxIdle int
+	resends uint64
+	ledger  connreuse.Ledger
 	// idleCap is the idle time from which connections are not reused. It applies
 	// until idleCapUntil, after a connection that was idle for longer was stale.
 	idleCap      time.Duration
@@ -171,7 +171,7 @@
 func (p *Pool) Dials() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.dials
+	return p.ledger.Total()
 }
 
 // Opened is the number of connection attempts so far by their reason.
@@ -449,7 +449,6 @@
 // none.
 func (p *Pool) dial(ctx context.Context, left connreuse.Reason) (*clientConn, error) {
 	p.mu.Lock()
-	p.dials++
 	reason := p.ledger.Opened(time.Now(), left)
 	p.mu.Unlock()
 	if p.options.OnOpen != nil {
