tests: no process is forked while a port is probed

Cause: to see whether a port is free, tests listen on it and close the listener. A process that is forked in between has a copy of it until it executes its program, and for that time the port stays in use.

--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/config/settings"
@@ -100,16 +101,27 @@
 			return nil, trace.LimitExceeded("no free port in the range that starts at %d", base)
 		}
 		address := loopback(base + 1 + int(portsTried.Add(1)-1)%(portsPerRange-1))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if isFree(address) {
+			addresses = append(addresses, address)
 		}
-		_ = l.Close()
-		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
 
+// isFree reports whether an address can be listened on. No process may be forked meanwhile: it
+// would have a copy of the listener until it executes its program, and whoever listens there
+// next would fail.
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	return true
+}
+
 // Start runs a deployment and ships its manifest. It returns when every node has
 // the manifest and knows all targets and the holders of all quota shards.
 func Start(ctx context.Context, d deployment.Deployment, log *logrus.Logger) (*Rig, error) {
