review: a leave is forgotten if all nodes are killed while the store is away

Case 8, from the open point of docs/incidents/older.md: a server signs off and serves on; the store goes away for 1 s and comes back from a copy of before; all nodes are killed meanwhile; a heartbeat of before arrives 4 s late.

--- a/review/rig-2/leave.go
+++ b/review/rig-2/leave.go
@@ -25,6 +25,11 @@
 
 // deployment starts the store and one node a zone.
 func deployment(work string, names ...string) []*node {
+	_, list := deploymentWithStore(work, names...)
+	return list
+}
+
+func deploymentWithStore(work string, names ...string) (*store, []*node) {
 	s := startStore("127.0.0.1")
 	s.put("config", "main", configuration("depositos"))
 	var list []*node
@@ -36,29 +41,11 @@
 		n.start()
 	}
 	waitReady()
-	return list
+	return s, list
 }
 
-// playLeave: while the time of day of its machine is 2 s ahead, a server starts. The clock
-// goes back, the server crashes and starts again under the same id. Much later it leaves in
-// the planned way. No request may reach it later than drain_s after that was acknowledged.
-// Without the trouble the clock is right from the beginning.
-func playLeave(work string, trouble bool) int {
-	list := deployment(work, "alfa", "beta", "gama")
-	time.Sleep(2 * time.Second) // the nodes have found each other
-	ahead := int64(0)
-	if trouble {
-		ahead = 2000
-	}
-	other := startServer(list[1], "i-other", time.Now().UnixMilli(), 50*time.Millisecond, nil)
-	defer other.crash()
-	first := startServer(list[0], "i-7f3a91c2", time.Now().UnixMilli()+ahead, 50*time.Millisecond, nil)
-	time.Sleep(time.Second)
-	first.crash()
-	time.Sleep(300 * time.Millisecond)
-	logf("the time of day is right again; the server starts once more")
-	again := startServer(list[0], "i-7f3a91c2", time.Now().UnixMilli(), 50*time.Millisecond, nil)
-
+// askSteadily sends requests at all nodes until the returned function is called.
+func askSteadily(list []*node) (end func()) {
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for i := range 4 {
@@ -79,12 +66,38 @@
 			}
 		}()
 	}
+	return func() {
+		close(stop)
+		clients.Wait()
+	}
+}
+
+// playLeave: while the time of day of its machine is 2 s ahead, a server starts. The clock
+// goes back, the server crashes and starts again under the same id. Much later it leaves in
+// the planned way. No request may reach it later than drain_s after that was acknowledged.
+// Without the trouble the clock is right from the beginning.
+func playLeave(work string, trouble bool) int {
+	list := deployment(work, "alfa", "beta", "gama")
+	time.Sleep(2 * time.Second) // the nodes have found each other
+	ahead := int64(0)
+	if trouble {
+		ahead = 2000
+	}
+	other := startServer(list[1], "i-other", time.Now().UnixMilli(), 50*time.Millisecond, nil)
+	defer other.crash()
+	first := startServer(list[0], "i-7f3a91c2", time.Now().UnixMilli()+ahead, 50*time.Millisecond, nil)
+	time.Sleep(time.Second)
+	first.crash()
+	time.Sleep(300 * time.Millisecond)
+	logf("the time of day is right again; the server starts once more")
+	again := startServer(list[0], "i-7f3a91c2", time.Now().UnixMilli(), 50*time.Millisecond, nil)
+
+	stopClients := askSteadily(list)
 	time.Sleep(8 * time.Second)
 	acknowledged, ok := again.leave()
 	if !ok {
 		logf("the leave was not acknowledged")
-		close(stop)
-		clients.Wait()
+		stopClients()
 		return failed
 	}
 	logf("the leave is acknowledged")
@@ -93,8 +106,7 @@
 	time.Sleep(500 * time.Millisecond)
 	again.crash()
 	time.Sleep(time.Second)
-	close(stop)
-	clients.Wait()
+	stopClients()
 
 	before, late := 0, 0
 	runsMu.Lock()
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -21,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE FOLDER")
 		os.Exit(failed)
 	}
-	play, ok := map[string]func(work string, trouble bool) int{"leave": playLeave, "holders": playHolders}[os.Args[1]]
+	play, ok := map[string]func(work string, trouble bool) int{"leave": playLeave, "holders": playHolders, "poison": playPoison, "drill": playDrill}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
 		os.Exit(failed)
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -191,6 +191,8 @@
 	sequence int64
 	running  int
 	down     bool
+	// silent is set once stopBeat is closed, which ends the heartbeats.
+	silent   bool
 	stopBeat chan struct{}
 }
 
@@ -278,7 +280,10 @@
 		return
 	}
 	s.down = true
-	close(s.stopBeat)
+	if !s.silent {
+		s.silent = true
+		close(s.stopBeat)
+	}
 	s.mu.Unlock()
 	_ = s.listener.Close()
 	_ = s.http.Close()
@@ -299,6 +304,24 @@
 	}
 }
 
+// lateBeat makes a heartbeat now and returns the function that lets it arrive.
+func (s *server) lateBeat() (arrive func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	text, err := json.Marshal(map[string]any{
+		"service": s.service, "address": s.node.target, "zone": s.node.zone, "version": "v1", "slots": s.slots, "state": s.state,
+		"cold_left_s": 0, "sequence": s.sequence, "born": s.born,
+	})
+	must(err)
+	state, sequence := s.state, s.sequence
+	logf("server %s sends %s (born %d, sequence %d), which is delayed", s.id, state, s.born, sequence)
+	return func() {
+		status := post("http://"+s.node.control+"/chestnutshed/instances/"+s.id+"/heartbeat", text)
+		logf("the delayed heartbeat of server %s arrives (%s, sequence %d): %d", s.id, state, sequence, status)
+	}
+}
+
 // beat sends one heartbeat and reports whether it was acknowledged.
 func (s *server) beat() bool {
 	s.mu.Lock()
@@ -329,9 +352,24 @@
 	return time.Time{}, false
 }
 
-func (s *server) deregister() {
+// deregister signs off and returns the status of the answer.
+func (s *server) deregister() int {
 	text, _ := json.Marshal(map[string]any{"born": s.born})
-	logf("server %s signs off: %d", s.id, post("http://"+s.node.control+"/chestnutshed/instances/"+s.id+"/deregister", text))
+	status := post("http://"+s.node.control+"/chestnutshed/instances/"+s.id+"/deregister", text)
+	logf("server %s signs off: %d", s.id, status)
+	return status
+}
+
+// quiet ends the heartbeats of a server that goes on serving. It says that it leaves only in
+// its health answers.
+func (s *server) quiet() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = "draining"
+	if !s.silent {
+		s.silent = true
+		close(s.stopBeat)
+	}
 }
 
 // post returns the status of the answer, 0 without one within a second.
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -36,10 +36,11 @@
 type event struct {
 	object  object
 	deleted bool
+	at      time.Time
 }
 
 // store is a stand-in for the platform's store, as PROTOCOL.md describes it. It keeps all
-// of its history and loses nothing.
+// of its history and loses nothing but in a drill, as the eighth letter describes it.
 type store struct {
 	address string
 
@@ -48,10 +49,51 @@
 	objects  map[string]object
 	events   []event
 	changed  chan struct{}
+	// away is set while the store is away; era is how often it came back from a copy.
+	away bool
+	era  int
+	// operator has what the operator wrote, by kind and name.
+	operator map[string]string
+}
+
+// leave makes the store go away: it answers no call, and waiting ones are cut off.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore brings the store back from the copy that it was at a time. The operator's objects
+// are written again.
+func (s *store) restore(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.events
+	s.revision, s.objects, s.events = 1, map[string]object{}, nil
+	for _, e := range all {
+		if e.at.After(at) {
+			break
+		}
+		key := e.object.kind + "/" + e.object.name
+		s.revision = e.object.revision
+		s.objects[key] = e.object
+		if e.deleted {
+			delete(s.objects, key)
+		}
+		s.events = append(s.events, e)
+	}
+	for key, spec := range s.operator {
+		kind, name, _ := strings.Cut(key, "/")
+		s.save(kind, name, json.RawMessage(spec))
+	}
+	s.era++
+	s.away = false
 }
 
 func startStore(ip string) *store {
-	s := &store{revision: 1, objects: map[string]object{}, changed: make(chan struct{})}
+	s := &store{revision: 1, objects: map[string]object{}, changed: make(chan struct{}), operator: map[string]string{}}
 	l, err := net.Listen("tcp", ip+":0")
 	must(err)
 	s.address = l.Addr().String()
@@ -63,6 +105,7 @@
 func (s *store) put(kind, name, spec string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.operator[kind+"/"+name] = spec
 	s.save(kind, name, json.RawMessage(spec))
 }
 
@@ -78,7 +121,7 @@
 	}
 	o.revision, o.spec = s.revision, spec
 	s.objects[key] = o
-	s.publish(event{o, false})
+	s.publish(event{o, false, time.Now()})
 	return o
 }
 
@@ -95,6 +138,13 @@
 		return
 	}
 	kind, name, _ := strings.Cut(path, "/")
+	s.mu.Lock()
+	away := s.away
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	s.mu.Unlock()
+	if away {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if r.Method == http.MethodGet {
 		s.read(w, r, kind, name)
@@ -115,7 +165,11 @@
 			return
 		}
 		wait, _ := strconv.Atoi(query.Get("wait_ms"))
+		era := s.era
 		found := s.wait(r, kind, since, time.Duration(min(wait, 30000))*time.Millisecond)
+		if s.away || s.era != era {
+			panic(http.ErrAbortHandler)
+		}
 		list := []string{}
 		for _, e := range found {
 			list = append(list, fmt.Sprintf(`{"deleted":%v,"object":%s}`, e.deleted, e.object.text()))
@@ -169,7 +223,7 @@
 			over = true
 		}
 		s.mu.Lock()
-		if over {
+		if over || s.away {
 			return nil
 		}
 	}
@@ -206,13 +260,13 @@
 		delete(s.objects, kind+"/"+name)
 		s.revision++
 		o.revision = s.revision
-		s.publish(event{o, true})
+		s.publish(event{o, true, time.Now()})
 		_, _ = w.Write([]byte("{}"))
 	case isStatus:
 		s.revision++
 		o.revision, o.status = s.revision, body.Status
 		s.objects[kind+"/"+name] = o
-		s.publish(event{o, false})
+		s.publish(event{o, false, time.Now()})
 		_, _ = w.Write(o.text())
 	default:
 		_, _ = w.Write(s.save(kind, name, body.Spec).text())
