strict: a reset during an upload is not the end of an answer

The caller got the part as the whole answer.

Cause: the system reports a reset once, to the call that comes first. If that is a write of the upload, the read of the answer beside it gets io.EOF, the regular end of a body without a length. The pool used the error of the write only to decide whether the connection is kept; on the product's own interface net/http closes the connection after such a write, but the read may have got its end by then. Ruled out: an error of the read that is dropped on the way; the pool got none.

core/strict.Conn makes the read return the error of the write. The request counts as one that may have run.

--- /dev/null
+++ b/internal/standin/rig/broken_test.go
@@ -0,0 +1,96 @@
+package rig_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/manifest"
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+	"chestnutshed.example/chestnutshed/internal/standin/broken"
+	"chestnutshed.example/chestnutshed/internal/standin/deployment"
+	"chestnutshed.example/chestnutshed/internal/standin/process"
+	"chestnutshed.example/chestnutshed/internal/standin/rig"
+	"chestnutshed.example/chestnutshed/internal/standin/target"
+	"github.com/matryer/is"
+)
+
+// uploads returns a deployment of one target that takes uploads, which must not run twice,
+// and one of another service.
+func uploads(t *testing.T) deployment.Deployment {
+	t.Helper()
+	d := deployment.Deployment{Name: "uploads", Region: "here", Zones: []string{"a"}}
+	for _, name := range []string{"store", "other"} {
+		d.Services = append(d.Services, deployment.Service{Name: name, Targets: 1, Slots: 50, Connections: 200, ServiceTime: settings.Duration(time.Millisecond)})
+	}
+	d.Text = fmt.Appendf(nil, `{
+		"name": "uploads",
+		"organisations": [{"name": "acme", "rate": 10000, "burst": 10000, "keys": [%q]}],
+		"services": [{"name": "store"}, {"name": "other"}],
+		"routes": [{"name": "store", "method": "POST", "path": "/store", "service": "store", "deadline": "8s", "body": %d}],
+	}`, manifest.Digest("example-acme"), 64<<20)
+	var err error
+	if d.Manifest, err = manifest.Parse(d.Text); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// upload sends a body through an entry node, with a ticket of its own.
+func upload(t *testing.T, entry string, size int) process.Response {
+	t.Helper()
+	is := is.New(t)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	ticket, err := process.Ticket(t.Context(), client, entry, "example-acme")
+	is.NoErr(err)
+	a, err := process.Do(t.Context(), client, process.Request{
+		Entry: entry, Method: http.MethodPost, Path: "/store", Key: "example-acme", Ticket: ticket, Body: strings.Repeat("x", size),
+	})
+	is.NoErr(err)
+	return a
+}
+
+// eachEntry runs a test with the entry node beside the target and with the other one, for
+// each size of an upload: from none to one that no socket buffers hold.
+func eachEntry(t *testing.T, f func(t *testing.T, r *rig.Rig, entry string, size int)) {
+	r := startRig(t, uploads(t))
+	for i, name := range []string{"beside the target", "another node"} {
+		for _, size := range []int{0, 12 << 10, 1 << 20, 8 << 20} {
+			t.Run(fmt.Sprintf("%s, upload of %d bytes", name, size), func(t *testing.T) {
+				f(t, r, r.CallerAddresses()[i], size)
+			})
+		}
+	}
+}
+
+// answerOnce lets the target of the rig send an answer to one upload.
+func answerOnce(t *testing.T, r *rig.Rig, entry string, size int, a broken.Answer) process.Response {
+	t.Helper()
+	m := r.Members[0]
+	m.Target.SetFaults(target.Faults{})
+	waitUntil(t, func() bool { return upload(t, entry, 0).Status == http.StatusOK })
+	before := len(m.Target.Records())
+	m.Target.SetFaults(target.Faults{Answer: &a})
+	got := upload(t, entry, size)
+	is.New(t).Equal(len(m.Target.Records())-before, 1) // it runs once
+	return got
+}
+
+// The caller got the part of an answer without a length that was reset while the upload was
+// written. It is told that the request may have run.
+func TestResetDuringUpload(t *testing.T) {
+	eachEntry(t, func(t *testing.T, r *rig.Rig, entry string, size int) {
+		for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+			for _, read := range []int64{0, 300 << 10} {
+				for range 3 {
+					got := answerOnce(t, r, entry, size, broken.Answer{Text: "HTTP/1.1 200 OK\r\nChestnut-Echo: {id}\r\n\r\npart", Read: min(read, int64(size)), Pause: pause, End: broken.Reset})
+					if got.Status != http.StatusBadGateway || got.Ran == "no" {
+						t.Errorf("%v, upload of %d bytes: reset reached the caller as %d %q", pause, size, got.Status, got.Body)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"chestnutshed.example/chestnutshed/internal/standin/broken"
 	"chestnutshed.example/chestnutshed/internal/standin/deployment"
 	"chestnutshed.example/chestnutshed/internal/traffic/serve"
 	"chestnutshed.example/chestnutshed/internal/traffic/wire"
@@ -77,6 +78,8 @@
 	AnnounceLeaving bool `json:"leave"`
 	// Hold blocks requests until it is unset.
 	Hold bool `json:"hold"`
+	// Answer is sent in place of each response once the headers of the request are read.
+	Answer *broken.Answer `json:"answer"`
 }
 
 // Record is one request that the target received.
@@ -226,6 +229,11 @@
 
 // serve handles a request from the node.
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	if f, _ := t.currentFaults(); f.Answer != nil {
+		t.record(r, nil)
+		f.Answer.WithID(r.Header.Get(wire.EchoHeader)).Hijack(w)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"chestnutshed.example/chestnutshed/internal/core/status"
+	"chestnutshed.example/chestnutshed/internal/core/strict"
 	"chestnutshed.example/chestnutshed/internal/policy/connreuse"
 )
 
@@ -461,9 +462,10 @@
 	}
 	setKeepAlive(conn)
 	setUserTimeout(conn, userTimeout)
-	limit := &io.LimitedReader{R: conn}
+	stream := strict.NewConn(conn)
+	limit := &io.LimitedReader{R: stream}
 	return &clientConn{
-		conn: conn, limit: limit, in: bufio.NewReaderSize(limit, bufferSize), out: bufio.NewWriterSize(conn, bufferSize),
+		conn: conn, limit: limit, in: bufio.NewReaderSize(limit, bufferSize), out: bufio.NewWriterSize(stream, bufferSize),
 	}, nil
 }
 
--- /dev/null
+++ b/internal/traffic/peers/broken_test.go
@@ -0,0 +1,79 @@
+package peers_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"chestnutshed.example/chestnutshed/internal/config/settings"
+	"chestnutshed.example/chestnutshed/internal/standin/broken"
+	"chestnutshed.example/chestnutshed/internal/traffic/peers"
+	"chestnutshed.example/chestnutshed/internal/traffic/wire"
+	"github.com/matryer/is"
+)
+
+// answeringPeer sends an answer to each call once it has read its headers, and returns its
+// address.
+func answeringPeer(t *testing.T, a broken.Answer) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					_ = c.Close()
+					return
+				}
+				a.Send(c.(*net.TCPConn), req.Body)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// send sends a call with a body of this size.
+func send(t *testing.T, address string, size int) (peers.Reply, error) {
+	t.Helper()
+	client, err := peers.NewClient(settings.Settings{}.WithSecret([]byte("secret")))
+	is.New(t).NoErr(err)
+	defer client.CloseIdle()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	return client.Send(ctx, address, "/peer/call", wire.Call{ID: "1", MaxResponseBytes: 1 << 20}, http.Header{}, make([]byte, size))
+}
+
+// head is the head of the answer to a call that the target has answered with 200.
+const head = "HTTP/1.1 200 OK\r\nChestnut-Outcome: {\"id\":\"1\",\"status\":200}\r\n"
+
+// A node resets the connection in the middle of a reply without a length, while the body of
+// the call is written. The part is not taken for the whole reply.
+func TestResetDuringUpload(t *testing.T) {
+	for _, size := range []int{0, 12 << 10, 1 << 20, 8 << 20} {
+		for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+			t.Run(fmt.Sprintf("upload of %d bytes, %v", size, pause), func(t *testing.T) {
+				t.Parallel()
+				for range 10 {
+					reply, err := send(t, answeringPeer(t, broken.Answer{Text: head + "\r\npart", Pause: pause, End: broken.Reset}), size)
+					if err == nil {
+						t.Errorf("reset taken for the end of a reply with body %q", reply.Body)
+					}
+					if errors.Is(err, peers.ErrNotSent) {
+						t.Error("call taken for not sent")
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/traffic/peers/client.go
+++ b/internal/traffic/peers/client.go
@@ -19,6 +19,7 @@
 
 	"chestnutshed.example/chestnutshed/internal/config/settings"
 	"chestnutshed.example/chestnutshed/internal/core/listen"
+	"chestnutshed.example/chestnutshed/internal/core/strict"
 	"chestnutshed.example/chestnutshed/internal/traffic/wire"
 	"github.com/gravitational/trace"
 )
@@ -69,7 +70,7 @@
 func (c *Client) ControlTraffic() (messages, bytes uint64) { return c.messages.Load(), c.bytes.Load() }
 
 type peer struct {
-	transport *http.Transport
+	transport *strict.Transport
 	lastUsed  time.Time
 }
 
@@ -111,9 +112,9 @@
 	delete(c.peers, oldest)
 }
 
-func (c *Client) transport() *http.Transport {
+func (c *Client) transport() *strict.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
-	return &http.Transport{
+	return strict.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -128,7 +129,7 @@
 		DisableCompression:  true,
 		// Responses of targets may have large headers.
 		MaxResponseHeaderBytes: 1 << 20,
-	}
+	})
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT, which closes a connection whose data is not
--- a/internal/traffic/serve/target.go
+++ b/internal/traffic/serve/target.go
@@ -13,6 +13,7 @@
 
 	"chestnutshed.example/chestnutshed/internal/core/failure"
 	"chestnutshed.example/chestnutshed/internal/core/status"
+	"chestnutshed.example/chestnutshed/internal/core/strict"
 	"chestnutshed.example/chestnutshed/internal/traffic/wire"
 	"github.com/gravitational/trace"
 )
@@ -67,12 +68,12 @@
 // client sends requests to one instance of the target.
 type client struct {
 	announcement Announcement
-	transport    *http.Transport
+	transport    *strict.Transport
 }
 
 func newClient(a Announcement) *client {
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
-	return &client{announcement: a, transport: &http.Transport{
+	return &client{announcement: a, transport: strict.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: a.Slots,
 		MaxConnsPerHost:     a.Connections,
@@ -81,7 +82,7 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	})}
 }
 
 // answer is a target's complete response.
