httpconn, strict: a failed write of an upload does not lose the answer

What callers saw: 502 for a request that its target had answered whole, if the answer came before the upload had been read and the connection was then reset.

Cause: the error of the write went before what had been received. The pool writes uploads below 16 KiB in two parts before it reads, and returned the error of the second part. On the product's own interface net/http closes the connection at such an error and loses what it has not read ("use of closed network connection"), or returns the error in place of the response.

The pool now reads the response in any case. Ruled out: a reset that discards what the sender had not sent; the answers fit into the first window.

--- a/internal/standin/rig/broken_test.go
+++ b/internal/standin/rig/broken_test.go
@@ -94,3 +94,29 @@
 		}
 	})
 }
+
+// A whole answer that comes before the upload has ended reaches the caller.
+func TestWholeAnswerDuringUpload(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nChestnut-Echo: {id}\r\n"
+	long := strings.Repeat("x", 20<<10) // fits into the first window, so that a reset does not discard any of it
+	sized := head + fmt.Sprintf("Content-Length: %d\r\n", len(long))
+	eachEntry(t, func(t *testing.T, r *rig.Rig, entry string, size int) {
+		for _, a := range []broken.Answer{
+			{Text: sized + "\r\n" + long, End: broken.Reset},
+			{Text: sized + "\r\n" + long, End: broken.Close},
+			{Text: sized + "Connection: close\r\n\r\n" + long, End: broken.Keep},
+			{Text: head + "\r\n" + long, End: broken.Close},
+			{Text: head + "\r\n" + long, End: broken.CloseThenReset},
+			{Text: head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(long), long), End: broken.Reset},
+		} {
+			for _, a.Pause = range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+				for range 3 {
+					got := answerOnce(t, r, entry, size, a)
+					if got.Status != http.StatusOK || got.Body != long {
+						t.Errorf("%s, upload of %d bytes: answer reached the caller as %d with %d bytes %q", a.End, size, got.Status, len(got.Body), got.Reason)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/traffic/httpconn/broken_test.go
+++ b/internal/traffic/httpconn/broken_test.go
@@ -19,6 +19,19 @@
 // answeringServer sends an answer on each connection once it has read the headers of the
 // first request, and returns its address.
 func answeringServer(t *testing.T, a broken.Answer) string {
+	t.Helper()
+	return listen(t, func(c *net.TCPConn) {
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			_ = c.Close()
+			return
+		}
+		a.Send(c, req.Body)
+	})
+}
+
+// listen calls f for each connection to the address that it returns.
+func listen(t *testing.T, f func(c *net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -29,14 +42,7 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					_ = c.Close()
-					return
-				}
-				a.Send(c.(*net.TCPConn), req.Body)
-			}()
+			go f(c.(*net.TCPConn))
 		}
 	}()
 	return l.Addr().String()
@@ -128,3 +134,30 @@
 		})
 	}
 }
+
+// A whole answer to a small upload that came at its first bytes was lost if the connection
+// ended before the rest was written.
+func TestWholeAnswerDuringSmallUpload(t *testing.T) {
+	for _, size := range []int{1 << 10, 4 << 10, 15 << 10} {
+		for _, a := range []broken.Answer{
+			{Text: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", End: broken.Reset},
+			{Text: "HTTP/1.1 200 OK\r\n\r\nwhole", End: broken.CloseThenReset},
+		} {
+			t.Run(fmt.Sprintf("%d bytes, %s", size, a.End), func(t *testing.T) {
+				address := listen(t, func(c *net.TCPConn) {
+					_, _ = c.Read(make([]byte, 1))
+					a.Send(c, c)
+				})
+				lost := 0
+				for range 500 {
+					if resp, err := upload(t, address, "POST", size); err != nil || string(resp.Body) != "whole" {
+						lost++
+					}
+				}
+				if lost > 0 {
+					t.Errorf("%d of 500 answers lost", lost)
+				}
+			})
+		}
+	}
+}
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -472,14 +472,14 @@
 // exchange sends one request and reads its response. Keep reports whether the
 // connection can be reused.
 func (c *clientConn) exchange(r *Request, o Options) (resp *Response, keep bool, err error) {
+	// A response may come before an error of the write, so it is read in any case. Some bytes
+	// may have been sent by then, so the error is not ErrNotSent.
 	sent := make(chan error, 1)
+	write := func() { sent <- writeRequest(c.out, r) }
 	if len(r.Body) >= concurrentBody {
-		go func() { sent <- writeRequest(c.out, r) }()
-	} else if err := writeRequest(c.out, r); err != nil {
-		// Some bytes may have been sent before the error, so not ErrNotSent.
-		return nil, false, err
+		go write()
 	} else {
-		sent <- nil
+		write()
 	}
 	mismatched := false
 	for range maxMismatched {
--- a/internal/traffic/peers/broken_test.go
+++ b/internal/traffic/peers/broken_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,3 +78,28 @@
 		}
 	}
 }
+
+// A whole reply that comes before the body of the call was written is read, although the
+// write then fails.
+func TestWholeReplyDuringUpload(t *testing.T) {
+	body := strings.Repeat("x", 20<<10) // fits into the first window, so that a reset does not discard any of it
+	for _, size := range []int{0, 12 << 10, 1 << 20, 8 << 20} {
+		for _, a := range []broken.Answer{
+			{Text: head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), End: broken.Reset},
+			{Text: head + "\r\n" + body, End: broken.Close},
+			{Text: head + "\r\n" + body, End: broken.CloseThenReset},
+		} {
+			for _, a.Pause = range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+				t.Run(fmt.Sprintf("upload of %d bytes, %s, %v", size, a.End, a.Pause), func(t *testing.T) {
+					t.Parallel()
+					for range 10 {
+						reply, err := send(t, answeringPeer(t, a), size)
+						if err != nil || string(reply.Body) != body {
+							t.Errorf("reply lost: %d bytes, error %v", len(reply.Body), err)
+						}
+					}
+				})
+			}
+		}
+	}
+}
