strict: a blank in the name of a field makes an answer malformed

Cause: net/http accepts blanks in names of fields and keeps such a name apart. The users' platform passes it on as it is. "Content-Length " and "Transfer-Encoding " tell nothing, so that the body goes on to the end of the connection, chunk sizes included. Ruled out: control bytes, which net/http refuses; names that the node forms itself.

core/strict.CheckHeader wants a token as each name. Both readers of answers ask it for interim heads, the head and the trailer: the httpconn pool, and strict.Transport, which the clients of the store, the object store, nodes and operators now use too. Such an answer does not tell whether the request ran, also if it says so.

--- a/internal/config/confsync/confsync.go
+++ b/internal/config/confsync/confsync.go
@@ -24,6 +24,7 @@
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
 	"chestnutshed.example/chestnutshed/internal/core/poll"
 	"chestnutshed.example/chestnutshed/internal/core/ring"
+	"chestnutshed.example/chestnutshed/internal/core/strict"
 	"chestnutshed.example/chestnutshed/internal/fleet/era"
 	"github.com/sirupsen/logrus"
 )
@@ -130,7 +131,7 @@
 func New(source Source, maxAge time.Duration, log *logrus.Entry) *Service {
 	return &Service{
 		source: source, maxAge: maxAge, log: log, fetchQueue: ring.New[string](fetchQueueSize),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}},
+		client: &http.Client{Transport: strict.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second})},
 		ready:  make(chan struct{}), backoff: backoff.New(minBackoff, maxBackoff),
 	}
 }
--- a/internal/config/confsync/confsync_test.go
+++ b/internal/config/confsync/confsync_test.go
@@ -11,6 +11,7 @@
 	"chestnutshed.example/chestnutshed/internal/config/confsync"
 	"chestnutshed.example/chestnutshed/internal/config/rules"
 	"chestnutshed.example/chestnutshed/internal/core/kernel"
+	"chestnutshed.example/chestnutshed/internal/standin/broken"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 )
@@ -70,20 +71,50 @@
 func (fleet) ConfirmRank(time.Time) int                   { return 0 }
 func (fleet) BroadcastVersion()                           {}
 
-// A node never goes back to an older version, nor to none, whatever the store returns.
-func TestOlderVersionIgnored(t *testing.T) {
+// start starts a service that asks a store, until the test ends.
+func start(t *testing.T, store *source, maxAge time.Duration) *confsync.Service {
+	t.Helper()
 	is := is.New(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	store := &source{}
-	store.put("7")
-	const maxAge = 500 * time.Millisecond // the store is asked several times within it
 	s := confsync.New(store, maxAge, logrus.NewEntry(log))
 	k := kernel.New()
 	is.NoErr(k.Register(fleet{}))
 	is.NoErr(k.Register(s))
 	is.NoErr(k.Start(context.Background()))
-	defer func() { is.NoErr(k.Stop(context.Background())) }()
+	t.Cleanup(func() { is.NoErr(k.Stop(context.Background())) })
+	return s
+}
+
+// A configuration that a peer sends with a malformed head is not taken over.
+func TestMalformedAnswerOfPeer(t *testing.T) {
+	is := is.New(t)
+	store := &source{}
+	store.put("7")
+	s := start(t, store, time.Minute)
+	<-s.Ready()
+	for _, line := range []string{"X Bad: 1", "Content-Length : 1", "X\x00Bad: 1", "X\tBad: 1"} {
+		address, err := broken.Answer{Text: "HTTP/1.1 200 OK\r\n" + line + "\r\nChestnutshed-Age: 0s\r\nContent-Length: 1\r\n\r\n9", End: broken.Close}.Listen(t.Context())
+		is.NoErr(err)
+		s.ReportVersion(9, time.Now(), address)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(s.Version(), uint64(7))
+	}
+	address, err := broken.Answer{Text: "HTTP/1.1 200 OK\r\nChestnutshed-Age: 0s\r\nContent-Length: 1\r\n\r\n9", End: broken.Close}.Listen(t.Context())
+	is.NoErr(err)
+	s.ReportVersion(9, time.Now(), address)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && s.Version() != 9; {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(s.Version(), uint64(9))
+}
+
+// A node never goes back to an older version, nor to none, whatever the store returns.
+func TestOlderVersionIgnored(t *testing.T) {
+	is := is.New(t)
+	store := &source{}
+	store.put("7")
+	s := start(t, store, 500*time.Millisecond) // the store is asked several times within it
 	for _, step := range []struct {
 		text string
 		want uint64
--- a/internal/core/strict/transport.go
+++ b/internal/core/strict/transport.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 )
 
-// Transport is an http.Transport whose responses are whole.
+// Transport is an http.Transport whose responses are whole and well-formed.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a transport with the settings of base, which it changes. Connections
@@ -31,6 +35,47 @@
 	return &Transport{base}
 }
 
+// RoundTrip implements http.RoundTripper. The error is trace.BadParameter if the head of the
+// response, or of an interim one, is malformed. If its trailer is, so is the last error of its
+// body.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var interim error
+	hooks := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+		// Without effect if the request has such a hook already, so the error is kept as well.
+		interim = errors.Join(interim, CheckHeader(http.Header(h)))
+		return interim
+	}}
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), hooks)))
+	if err != nil {
+		return nil, err
+	}
+	if err := errors.Join(interim, CheckHeader(resp.Header)); err != nil {
+		_ = resp.Body.Close()
+		t.CloseIdleConnections() // that of the response may be among them
+		return nil, fmt.Errorf("read response: %w", err)
+	}
+	resp.Body = &checkedBody{resp.Body, resp}
+	return resp, nil
+}
+
+// checkedBody is the body of a response whose trailer is checked.
+type checkedBody struct {
+	io.ReadCloser
+
+	response *http.Response
+}
+
+// Read reads from the body.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if malformed := CheckHeader(b.response.Trailer); malformed != nil {
+			err = fmt.Errorf("read trailer: %w", malformed)
+		}
+	}
+	return n, err
+}
+
 // patientConn returns an error of Write once all that was received has been read.
 // http.Transport closes the connection at such an error, and would lose a whole response
 // that came before it.
--- a/internal/operate/nodeclient/nodeclient.go
+++ b/internal/operate/nodeclient/nodeclient.go
@@ -15,6 +15,7 @@
 	"chestnutshed.example/chestnutshed/internal/config/settings"
 	"chestnutshed.example/chestnutshed/internal/core/listen"
 	"chestnutshed.example/chestnutshed/internal/core/status"
+	"chestnutshed.example/chestnutshed/internal/core/strict"
 	"chestnutshed.example/chestnutshed/internal/fleet/claim"
 	"chestnutshed.example/chestnutshed/internal/fleet/member"
 	"chestnutshed.example/chestnutshed/internal/fleet/shard"
@@ -53,7 +54,7 @@
 	}
 	c := &Client{scheme: "http", http: &http.Client{
 		Timeout:   callTimeout,
-		Transport: &http.Transport{TLSClientConfig: config, DisableKeepAlives: true},
+		Transport: strict.NewTransport(&http.Transport{TLSClientConfig: config, DisableKeepAlives: true}),
 	}}
 	if config != nil {
 		c.scheme = "https"
--- a/internal/platform/object/object.go
+++ b/internal/platform/object/object.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"chestnutshed.example/chestnutshed/internal/core/strict"
 	"github.com/gravitational/trace"
 )
 
@@ -47,7 +48,7 @@
 // New returns a client for the API at a base URL.
 func New(base string) *Client {
 	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second},
+		Transport: strict.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}),
 	}}
 }
 
--- a/internal/standin/broken/broken.go
+++ b/internal/standin/broken/broken.go
@@ -3,6 +3,9 @@
 package broken
 
 import (
+	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -47,6 +50,39 @@
 	return a
 }
 
+// Listen answers the first request on each connection once its headers were read, and returns
+// the address. It stops listening when ctx ends.
+func (a Answer) Listen(ctx context.Context) (string, error) {
+	return Listen(ctx, func(conn *net.TCPConn) {
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			_ = conn.Close()
+			return
+		}
+		a.Send(conn, req.Body)
+	})
+}
+
+// Listen calls serve for each connection to the address that it returns. It stops listening
+// when ctx ends.
+func Listen(ctx context.Context, serve func(conn *net.TCPConn)) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
 // Hijack answers a request to a server of net/http.
 func (a Answer) Hijack(w http.ResponseWriter) {
 	conn, buffered, err := w.(http.Hijacker).Hijack()
--- a/internal/standin/rig/broken_test.go
+++ b/internal/standin/rig/broken_test.go
@@ -120,3 +120,29 @@
 		}
 	})
 }
+
+// An answer in whose head or trailer the name of a field holds a blank or a control byte is
+// no answer. The request may have run.
+func TestMalformedHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nChestnut-Echo: {id}\r\n"
+	r := startRig(t, uploads(t))
+	for i, name := range []string{"beside the target", "another node"} {
+		t.Run(name, func(t *testing.T) {
+			for _, line := range []string{"X Bad: 1", "X-Bad : 1", "Content-Length : 1", "Transfer-Encoding : chunked", "X\x00Bad: 1", "X\tBad: 1", "X\rBad: 1"} {
+				for _, text := range []string{
+					head + line + "\r\nContent-Length: 2\r\n\r\nab",
+					head + line + "\r\n\r\nab",
+					head + line + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+					head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n" + line + "\r\n\r\n",
+					"HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + head + "Content-Length: 2\r\n\r\nab",
+					strings.Replace(head, "200 OK", "204 No Content", 1) + line + "\r\n\r\n",
+				} {
+					got := answerOnce(t, r, r.CallerAddresses()[i], 0, broken.Answer{Text: text, End: broken.Close})
+					if got.Status != http.StatusBadGateway || got.Ran == "no" {
+						t.Errorf("%q reached the caller as %d %q", text, got.Status, got.Body)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/traffic/httpconn/broken_test.go
+++ b/internal/traffic/httpconn/broken_test.go
@@ -1,7 +1,6 @@
 package httpconn_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -20,32 +19,9 @@
 // first request, and returns its address.
 func answeringServer(t *testing.T, a broken.Answer) string {
 	t.Helper()
-	return listen(t, func(c *net.TCPConn) {
-		req, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			_ = c.Close()
-			return
-		}
-		a.Send(c, req.Body)
-	})
-}
-
-// listen calls f for each connection to the address that it returns.
-func listen(t *testing.T, f func(c *net.TCPConn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := a.Listen(t.Context())
 	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go f(c.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
+	return address
 }
 
 // upload sends a request with a body to an address and returns the response.
@@ -144,10 +120,11 @@
 			{Text: "HTTP/1.1 200 OK\r\n\r\nwhole", End: broken.CloseThenReset},
 		} {
 			t.Run(fmt.Sprintf("%d bytes, %s", size, a.End), func(t *testing.T) {
-				address := listen(t, func(c *net.TCPConn) {
+				address, err := broken.Listen(t.Context(), func(c *net.TCPConn) {
 					_, _ = c.Read(make([]byte, 1))
 					a.Send(c, c)
 				})
+				is.New(t).NoErr(err)
 				lost := 0
 				for range 500 {
 					if resp, err := upload(t, address, "POST", size); err != nil || string(resp.Body) != "whole" {
@@ -161,3 +138,61 @@
 		}
 	}
 }
+
+// malformedNames are names of fields that no head can have.
+func malformedNames() []string {
+	names := []string{"X Bad", "X-Bad ", "Content-Length ", "Transfer-Encoding ", "Content Length", "X-Bad\u00a0", "X-Bäd", "X(Bad)", ""}
+	for c := range byte(0x20) {
+		if c != '\n' {
+			names = append(names, "X"+string(c)+"Bad", "X-Bad"+string(c))
+		}
+	}
+	return append(names, "X\x7fBad")
+}
+
+// A target in trouble sent an answer in whose head the name of a field held a blank. The line
+// was passed on, or did not tell the length of the body, which then was another one.
+func TestMalformedNames(t *testing.T) {
+	const line = "HTTP/1.1 200 OK\r\n"
+	for _, test := range []struct{ name, method, before, after string }{
+		{"with length", "GET", line, "Content-Length: 2\r\n\r\nab"},
+		{"without length", "GET", line, "\r\nab"},
+		{"in chunks", "GET", line, "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"},
+		{"last line", "GET", line + "Content-Length: 2\r\n", "\r\nab"},
+		{"answer to HEAD", "HEAD", line, "Content-Length: 2\r\n\r\n"},
+		{"no content", "GET", "HTTP/1.1 204 No Content\r\n", "\r\n"},
+		{"not modified", "GET", "HTTP/1.1 304 Not Modified\r\n", "\r\n"},
+		{"failure", "GET", "HTTP/1.1 503 Service Unavailable\r\n", "Content-Length: 0\r\n\r\n"},
+		{"interim answer", "GET", "HTTP/1.1 103 Early Hints\r\n", "\r\n" + line + "Content-Length: 2\r\n\r\nab"},
+		{"trailer", "GET", line + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n", "\r\n"},
+	} {
+		for _, name := range malformedNames() {
+			address, conns := scriptedServer(t, false, test.before+name+": 2\r\n"+test.after)
+			p := pool(address)
+			req := get("1")
+			req.Method = test.method
+			resp, err := p.Do(t.Context(), req, httpconn.Reuse{})
+			if err == nil {
+				t.Errorf("%s, name %q: passed on as %d %q with header %v", test.name, name, resp.Status, resp.Body, resp.Header)
+			}
+			if errors.Is(err, httpconn.ErrNotSent) {
+				t.Errorf("%s, name %q: request taken for not sent", test.name, name)
+			}
+			_, _ = p.Do(t.Context(), req, httpconn.Reuse{})
+			if n := conns.Load(); n != 2 {
+				t.Errorf("%s, name %q: %d connections, so the first was used again", test.name, name, n)
+			}
+		}
+	}
+}
+
+// Names of all characters that a name can have are passed on.
+func TestWellFormedNames(t *testing.T) {
+	is := is.New(t)
+	const name = "!#$%&'*+-.^_`|~09azAZ"
+	address, _ := scriptedServer(t, false, "HTTP/1.1 200 OK\r\n"+name+": a b\tc\r\nContent-Length: 2\r\n\r\nab")
+	resp, err := pool(address).Do(t.Context(), get("1"), httpconn.Reuse{})
+	is.NoErr(err)
+	is.Equal(string(resp.Body), "ab")
+	is.Equal(resp.Header[http.CanonicalHeaderKey(name)], []string{"a b\tc"})
+}
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -528,6 +528,9 @@
 			return nil, false, fmt.Errorf("read response: %w", truncateError(err))
 		}
 		c.limit.N = unlimited
+		if err := strict.CheckHeader(resp.Header); err != nil {
+			return nil, false, fmt.Errorf("read response: %w", err)
+		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
@@ -539,6 +542,9 @@
 		if err != nil {
 			return nil, false, err
 		}
+		if err := strict.CheckHeader(resp.Trailer); err != nil {
+			return nil, false, fmt.Errorf("read trailer: %w", err)
+		}
 		c.expires = time.Now().Add(connreuse.Expiry(keepAliveTimeout(resp.Header)))
 		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, framed && !resp.Close && !taken.isRevoked(), nil
--- a/internal/traffic/peers/broken_test.go
+++ b/internal/traffic/peers/broken_test.go
@@ -1,11 +1,9 @@
 package peers_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -18,35 +16,11 @@
 	"github.com/matryer/is"
 )
 
-// answeringPeer sends an answer to each call once it has read its headers, and returns its
-// address.
-func answeringPeer(t *testing.T, a broken.Answer) string {
+// send sends a call with a body of this size to a peer that answers so.
+func send(t *testing.T, a broken.Answer, size int) (peers.Reply, error) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := a.Listen(t.Context())
 	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					_ = c.Close()
-					return
-				}
-				a.Send(c.(*net.TCPConn), req.Body)
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
-// send sends a call with a body of this size.
-func send(t *testing.T, address string, size int) (peers.Reply, error) {
-	t.Helper()
 	client, err := peers.NewClient(settings.Settings{}.WithSecret([]byte("secret")))
 	is.New(t).NoErr(err)
 	defer client.CloseIdle()
@@ -66,7 +40,7 @@
 			t.Run(fmt.Sprintf("upload of %d bytes, %v", size, pause), func(t *testing.T) {
 				t.Parallel()
 				for range 10 {
-					reply, err := send(t, answeringPeer(t, broken.Answer{Text: head + "\r\npart", Pause: pause, End: broken.Reset}), size)
+					reply, err := send(t, broken.Answer{Text: head + "\r\npart", Pause: pause, End: broken.Reset}, size)
 					if err == nil {
 						t.Errorf("reset taken for the end of a reply with body %q", reply.Body)
 					}
@@ -93,7 +67,7 @@
 				t.Run(fmt.Sprintf("upload of %d bytes, %s, %v", size, a.End, a.Pause), func(t *testing.T) {
 					t.Parallel()
 					for range 10 {
-						reply, err := send(t, answeringPeer(t, a), size)
+						reply, err := send(t, a, size)
 						if err != nil || string(reply.Body) != body {
 							t.Errorf("reply lost: %d bytes, error %v", len(reply.Body), err)
 						}
--- a/internal/traffic/serve/target.go
+++ b/internal/traffic/serve/target.go
@@ -152,6 +152,9 @@
 		c.transport.CloseIdleConnections()
 		return failure.New(failure.Deadline, "the target did not respond before the deadline").WithRan(failure.RanUnknown)
 	}
+	if trace.IsBadParameter(err) {
+		return failure.New(failure.BadResponse, "the target's response is malformed: %v", err).WithRan(failure.RanUnknown)
+	}
 	return failure.New(failure.Lost, "the connection to the target failed before the target responded").WithRan(failure.RanUnknown)
 }
 
