httpconn, entry: answers to HEAD have no body and tell no wrong length

What callers saw: 502 for every answer to HEAD that told the length of the body for GET, and "Content-Length: 0" for the others; on the product's own interface the latter always.

Cause: the pool read as many bytes as the length told. An answer to HEAD has none, whatever its head says. The length of the body at hand was then written in place of the target's. Ruled out: 204 and 304 to other methods, which net/http parses as empty.

The pool takes no bytes where net/http says that there is no body, and such answers are sent without a length, which RFC 9110 allows for HEAD.

Red before: TestAnswersWithoutBody, 15 of 30 answers lost; TestLengthOfAnswerToHead; TestAnswerToHead of platform and of standin/rig, with the entry beside the target and on another VM. Green now, also with the race detector.

--- a/internal/standin/rig/broken_test.go
+++ b/internal/standin/rig/broken_test.go
@@ -29,7 +29,8 @@
 		"name": "uploads",
 		"organisations": [{"name": "acme", "rate": 10000, "burst": 10000, "keys": [%q]}],
 		"services": [{"name": "store"}, {"name": "other"}],
-		"routes": [{"name": "store", "method": "POST", "path": "/store", "service": "store", "deadline": "8s", "body": %d}],
+		"routes": [{"name": "store", "method": "POST", "path": "/store", "service": "store", "deadline": "8s", "body": %d},
+			{"name": "head", "method": "HEAD", "path": "/store", "service": "store", "idempotent": true}],
 	}`, manifest.Digest("example-acme"), 64<<20)
 	var err error
 	if d.Manifest, err = manifest.Parse(d.Text); err != nil {
@@ -146,3 +147,20 @@
 		})
 	}
 }
+
+// An answer to HEAD does not tell that the body for GET is empty.
+func TestAnswerToHead(t *testing.T) {
+	r := startRig(t, uploads(t))
+	for i, name := range []string{"beside the target", "another node"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for _, line := range []string{"", "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n"} {
+				r.Members[0].Target.SetFaults(target.Faults{Answer: &broken.Answer{Text: "HTTP/1.1 200 OK\r\nChestnut-Echo: {id}\r\n" + line + "\r\n", End: broken.Close}})
+				a, err := process.Do(t.Context(), http.DefaultClient, process.Request{Entry: r.CallerAddresses()[i], Method: http.MethodHead, Path: "/store", Key: "example-acme"})
+				is.NoErr(err)
+				is.Equal(a.Status, http.StatusOK)
+				is.Equal(a.Header.Get("Content-Length"), "")
+			}
+		})
+	}
+}
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -174,8 +174,8 @@
 	}
 }
 
-// write sends the result of a call as the response.
-func write(w http.ResponseWriter, root string, r sender.Result) {
+// write sends the result of a call as the response to a request with this method.
+func write(w http.ResponseWriter, method, root string, r sender.Result) {
 	w.Header().Set(wire.RootHeader, root)
 	if r.Refusal == nil && !status.Final(r.Status) {
 		r.Refusal = failure.New(failure.BadResponse, "the response has status %d, which is no final one", r.Status).WithRan(failure.RanUnknown)
@@ -188,7 +188,9 @@
 	for name, values := range wire.EndToEnd(r.Header) {
 		h[name] = values
 	}
-	h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	if method != http.MethodHead { // the length of a body that is not at hand is unknown
+		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
 	w.WriteHeader(r.Status)
 	_, _ = w.Write(r.Body)
 }
--- a/internal/traffic/entry/inner.go
+++ b/internal/traffic/entry/inner.go
@@ -21,7 +21,7 @@
 		failure.New(failure.BadKey, "the token in the %s header belongs to no running call", wire.TokenHeader).Write(w)
 		return
 	}
-	write(w, parent.Call.Root, s.handleInner(req, parent))
+	write(w, req.Method, parent.Call.Root, s.handleInner(req, parent))
 }
 
 func (s *Service) handleInner(req *http.Request, parent *serve.Parent) sender.Result {
--- a/internal/traffic/entry/root.go
+++ b/internal/traffic/entry/root.go
@@ -69,7 +69,7 @@
 	} else {
 		s.Set.GetOrCreateCounter(`chestnutshed_root_refusals_total{reason="` + string(result.Refusal.Reason) + `"}`).Inc()
 	}
-	write(w, r.id, result)
+	write(w, req.Method, r.id, result)
 }
 
 func (s *Service) logRoot(r root, route string, result sender.Result, began time.Time) {
--- a/internal/traffic/httpconn/broken_test.go
+++ b/internal/traffic/httpconn/broken_test.go
@@ -196,3 +196,42 @@
 	is.Equal(string(resp.Body), "ab")
 	is.Equal(resp.Header[http.CanonicalHeaderKey(name)], []string{"a b\tc"})
 }
+
+// An answer to HEAD with the length of the body that GET would get was lost, since that many
+// bytes were waited for.
+func TestAnswersWithoutBody(t *testing.T) {
+	for _, status := range []int{200, 204, 304, 404, 503} {
+		for _, line := range []string{"", "Content-Length: 0\r\n", "Content-Length: 2\r\n", "Content-Length: 70000\r\n", "Content-Length: 9000000000000\r\n", "Transfer-Encoding: chunked\r\n"} {
+			is := is.New(t)
+			address, _ := scriptedServer(t, true, fmt.Sprintf("HTTP/1.1 %d Text\r\n%s\r\n", status, line))
+			req := get("1")
+			req.Method = http.MethodHead
+			resp, err := pool(address).Do(t.Context(), req, httpconn.Reuse{})
+			if err != nil {
+				t.Errorf("%d, %q: answer lost: %v", status, line, err)
+				continue
+			}
+			is.Equal(resp.Status, status)
+			is.Equal(len(resp.Body), 0)
+		}
+	}
+}
+
+// The answer to HEAD tells no length but that of a body that the handler has.
+func TestLengthOfAnswerToHead(t *testing.T) {
+	for _, body := range []string{"", "ab"} {
+		is := is.New(t)
+		s := serve(t, func(context.Context, *httpconn.Request) *httpconn.Response {
+			return &httpconn.Response{Status: 200, Body: []byte(body)}
+		})
+		c, in := dial(t, s.Address())
+		for range 2 {
+			_, err := c.Write([]byte("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			is.NoErr(err)
+			resp, err := http.ReadResponse(in, &http.Request{Method: http.MethodHead})
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, 200)
+			is.Equal(resp.Header.Get("Content-Length") == "", body == "")
+		}
+	}
+}
--- a/internal/traffic/httpconn/message.go
+++ b/internal/traffic/httpconn/message.go
@@ -269,7 +269,8 @@
 	_, _ = w.WriteString("\r\n")
 	writeHeader(w, r.Header)
 	bodiless := r.Status == http.StatusNoContent || r.Status == http.StatusNotModified
-	if !bodiless {
+	// The length of a body that is not at hand for HEAD is unknown.
+	if !bodiless && (method != http.MethodHead || len(r.Body) > 0) {
 		writeContentLength(w, len(r.Body))
 	}
 	if r.Close {
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -537,8 +537,12 @@
 		if !status.Final(resp.StatusCode) {
 			return nil, false, fmt.Errorf("read response: status %d is no final one", resp.StatusCode)
 		}
-		taken := o.Budget.share(resp.ContentLength, c.interrupt)
-		body, err := readResponseBody(resp.Body, resp.ContentLength, o.MaxBody, taken)
+		length := resp.ContentLength
+		if resp.Body == http.NoBody {
+			length = 0 // an answer to HEAD may tell that of the body for GET
+		}
+		taken := o.Budget.share(length, c.interrupt)
+		body, err := readResponseBody(resp.Body, length, o.MaxBody, taken)
 		if err != nil {
 			return nil, false, err
 		}
@@ -546,7 +550,7 @@
 			return nil, false, fmt.Errorf("read trailer: %w", err)
 		}
 		c.expires = time.Now().Add(connreuse.Expiry(keepAliveTimeout(resp.Header)))
-		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+		framed := length >= 0 || len(resp.TransferEncoding) > 0
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, framed && !resp.Close && !taken.isRevoked(), nil
 	}
 	return nil, false, errors.New("too many interim responses without a final one")
