strict: a line of a head that begins with a blank makes an answer malformed

The caller got the line as part of the value of the field before, or the chunks of an answer as its body when " Transfer-Encoding: chunked" began so.

Cause: net/http adds such a line to the one before, as HTTP once allowed. After that nothing tells it from the value. RFC 9112 (section 5.2) lets a gateway drop the answer or join the lines; since the line may as well be a field of its own that tells where the body ends, it is dropped.

strict.Conn looks at the bytes of each head, and of interim ones before it, for such lines; the body is not looked at. The httpconn pool and strict.Transport ask it where they check names.

TestRevokedConnectionNotReused makes its connection with the new field.

--- a/internal/core/strict/conn.go
+++ b/internal/core/strict/conn.go
@@ -18,6 +18,7 @@
 type Conn struct {
 	net.Conn
 
+	head headScanner
 	// writing is held by a write. It guards broken, the first error of a write that shows
 	// that the connection broke before its regular end.
 	writing sync.Mutex
@@ -28,6 +29,13 @@
 // it.
 func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
+// StartHead says that a head of a response follows, of which some bytes may have been read.
+func (c *Conn) StartHead(read []byte) { c.head.start(read) }
+
+// CheckHead returns trace.BadParameter if the head that was started, or an interim one before
+// it, has a line that begins with a blank.
+func (c *Conn) CheckHead() error { return c.head.check() }
+
 // Write writes to the connection.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
@@ -49,6 +57,7 @@
 // connection in order. A write that is under way then ends.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.head.read(p[:n])
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
--- a/internal/core/strict/transport.go
+++ b/internal/core/strict/transport.go
@@ -40,19 +40,32 @@
 // body.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var interim error
-	hooks := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
-		// Without effect if the request has such a hook already, so the error is kept as well.
-		interim = errors.Join(interim, CheckHeader(http.Header(h)))
-		return interim
-	}}
+	var conn *patientConn // nil with TLS
+	hooks := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			var ok bool
+			if conn, ok = info.Conn.(*patientConn); ok {
+				conn.StartHead(nil)
+			}
+		},
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+			// Without effect if the request has such a hook already, so the error is kept as well.
+			interim = errors.Join(interim, CheckHeader(http.Header(h)))
+			return interim
+		},
+	}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), hooks)))
 	if err != nil {
 		return nil, err
 	}
-	if err := errors.Join(interim, CheckHeader(resp.Header)); err != nil {
+	malformed := errors.Join(interim, CheckHeader(resp.Header))
+	if conn != nil {
+		malformed = errors.Join(malformed, conn.CheckHead())
+	}
+	if malformed != nil {
 		_ = resp.Body.Close()
 		t.CloseIdleConnections() // that of the response may be among them
-		return nil, fmt.Errorf("read response: %w", err)
+		return nil, fmt.Errorf("read response: %w", malformed)
 	}
 	resp.Body = &checkedBody{resp.Body, resp}
 	return resp, nil
--- a/internal/standin/rig/broken_test.go
+++ b/internal/standin/rig/broken_test.go
@@ -125,11 +125,11 @@
 // An answer in whose head or trailer the name of a field holds a blank or a control byte is
 // no answer. The request may have run.
 func TestMalformedHead(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nChestnut-Echo: {id}\r\n"
+	const head = "HTTP/1.1 200 OK\r\nChestnut-Echo: {id}\r\nX-Good: 1\r\n"
 	r := startRig(t, uploads(t))
 	for i, name := range []string{"beside the target", "another node"} {
 		t.Run(name, func(t *testing.T) {
-			for _, line := range []string{"X Bad: 1", "X-Bad : 1", "Content-Length : 1", "Transfer-Encoding : chunked", "X\x00Bad: 1", "X\tBad: 1", "X\rBad: 1"} {
+			for _, line := range []string{"X Bad: 1", "X-Bad : 1", "Content-Length : 1", "Transfer-Encoding : chunked", "X\x00Bad: 1", "X\tBad: 1", "X\rBad: 1", " X-Bad: 1", "\tX-Bad: 1", " Transfer-Encoding: chunked"} {
 				for _, text := range []string{
 					head + line + "\r\nContent-Length: 2\r\n\r\nab",
 					head + line + "\r\n\r\nab",
--- a/internal/traffic/httpconn/broken_test.go
+++ b/internal/traffic/httpconn/broken_test.go
@@ -141,7 +141,7 @@
 
 // malformedNames are names of fields that no head can have.
 func malformedNames() []string {
-	names := []string{"X Bad", "X-Bad ", "Content-Length ", "Transfer-Encoding ", "Content Length", "X-Bad\u00a0", "X-Bäd", "X(Bad)", ""}
+	names := []string{"X Bad", "X-Bad ", "Content-Length ", "Transfer-Encoding ", "Content Length", " X-Bad", "\tX-Bad", " Content-Length", " ", "X-Bad\u00a0", "X-Bäd", "X(Bad)", ""}
 	for c := range byte(0x20) {
 		if c != '\n' {
 			names = append(names, "X"+string(c)+"Bad", "X-Bad"+string(c))
@@ -158,12 +158,15 @@
 		{"with length", "GET", line, "Content-Length: 2\r\n\r\nab"},
 		{"without length", "GET", line, "\r\nab"},
 		{"in chunks", "GET", line, "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"},
-		{"last line", "GET", line + "Content-Length: 2\r\n", "\r\nab"},
+		{"last line", "GET", line + "Content-Length: 2\r\nX-Good: 1\r\n", "\r\nab"},
 		{"answer to HEAD", "HEAD", line, "Content-Length: 2\r\n\r\n"},
 		{"no content", "GET", "HTTP/1.1 204 No Content\r\n", "\r\n"},
 		{"not modified", "GET", "HTTP/1.1 304 Not Modified\r\n", "\r\n"},
 		{"failure", "GET", "HTTP/1.1 503 Service Unavailable\r\n", "Content-Length: 0\r\n\r\n"},
 		{"interim answer", "GET", "HTTP/1.1 103 Early Hints\r\n", "\r\n" + line + "Content-Length: 2\r\n\r\nab"},
+		{"last line of interim answer", "GET", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Good: 1\r\n", "\r\n" + line + "Content-Length: 2\r\n\r\nab"},
+		{"after interim answer", "GET", "HTTP/1.1 103 Early Hints\r\n\r\n" + line + "X-Good: 1\r\n", "Content-Length: 2\r\n\r\nab"},
+		{"after answer to another request", "GET", response("0", "x\r\n y") + line + "ID: 1\r\n", "Content-Length: 2\r\n\r\nab"},
 		{"trailer", "GET", line + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n", "\r\n"},
 	} {
 		for _, name := range malformedNames() {
@@ -235,3 +238,16 @@
 		}
 	}
 }
+
+// A control byte in the value of a field makes an answer malformed.
+func TestControlBytesInValues(t *testing.T) {
+	for c := range byte(0x20) {
+		if c == '\t' || c == '\n' {
+			continue
+		}
+		address, _ := scriptedServer(t, false, "HTTP/1.1 200 OK\r\nX-Bad: a"+string(c)+"b: c\r\nContent-Length: 2\r\n\r\nab")
+		if resp, err := pool(address).Do(t.Context(), get("1"), httpconn.Reuse{}); err == nil {
+			t.Errorf("value with byte %#x passed on in %v", c, resp.Header)
+		}
+	}
+}
--- a/internal/traffic/httpconn/budget_test.go
+++ b/internal/traffic/httpconn/budget_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"chestnutshed.example/chestnutshed/internal/core/strict"
 	"github.com/matryer/is"
 )
 
@@ -98,7 +99,7 @@
 	conn := &revokingConn{budget: b, left: size}
 	limit := &io.LimitedReader{R: conn}
 	head := []byte("HTTP/1.1 200 OK\r\nContent-Length: 204800\r\n\r\n")
-	c := &clientConn{conn: conn, limit: limit, in: bufio.NewReaderSize(io.MultiReader(bytes.NewReader(head), limit), bufferSize)}
+	c := &clientConn{conn: conn, stream: strict.NewConn(conn), limit: limit, in: bufio.NewReaderSize(io.MultiReader(bytes.NewReader(head), limit), bufferSize)}
 	resp, keep, err := c.readResponse(http.MethodGet, Options{MaxBody: size, Budget: b})
 	is.NoErr(err)
 	is.Equal(len(resp.Body), size)
--- a/internal/traffic/httpconn/pool.go
+++ b/internal/traffic/httpconn/pool.go
@@ -141,10 +141,12 @@
 
 // clientConn is a connection of a pool.
 type clientConn struct {
-	conn  net.Conn
-	limit *io.LimitedReader
-	in    *bufio.Reader
-	out   *bufio.Writer
+	conn net.Conn
+	// stream is conn as limit, in and out use it.
+	stream *strict.Conn
+	limit  *io.LimitedReader
+	in     *bufio.Reader
+	out    *bufio.Writer
 	// expires is when the server may close the connection, with a margin.
 	expires time.Time
 	// idleSince is zero until the first response.
@@ -465,7 +467,7 @@
 	stream := strict.NewConn(conn)
 	limit := &io.LimitedReader{R: stream}
 	return &clientConn{
-		conn: conn, limit: limit, in: bufio.NewReaderSize(limit, bufferSize), out: bufio.NewWriterSize(stream, bufferSize),
+		conn: conn, stream: stream, limit: limit, in: bufio.NewReaderSize(limit, bufferSize), out: bufio.NewWriterSize(stream, bufferSize),
 	}, nil
 }
 
@@ -518,6 +520,8 @@
 // readResponse reads one final response and skips interim ones.
 func (c *clientConn) readResponse(method string, o Options) (*Response, bool, error) {
 	stub := &http.Request{Method: method}
+	read, _ := c.in.Peek(c.in.Buffered())
+	c.stream.StartHead(read)
 	for range maxInterim {
 		c.limit.N = maxHeader
 		resp, err := http.ReadResponse(c.in, stub)
@@ -528,7 +532,7 @@
 			return nil, false, fmt.Errorf("read response: %w", truncateError(err))
 		}
 		c.limit.N = unlimited
-		if err := strict.CheckHeader(resp.Header); err != nil {
+		if err := errors.Join(c.stream.CheckHead(), strict.CheckHeader(resp.Header)); err != nil {
 			return nil, false, fmt.Errorf("read response: %w", err)
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
