strict: an answer before HTTP/1.1 with a transfer encoding is malformed

What callers saw: 200 with the sizes of the chunks in the body, when a target answered in HTTP/1.0 with "Transfer-Encoding: chunked".

Cause: net/http ignores and drops the field there, and takes all until the end of the connection for the body. RFC 9112 (section 6.1) wants such a message taken as one whose framing is faulty. Found by trying other heads that are read in another way than they were meant; ruled out are lengths that differ, lists of them, negative ones and unknown encodings.

--- a/internal/core/strict/conn.go
+++ b/internal/core/strict/conn.go
@@ -33,7 +33,8 @@
 func (c *Conn) StartHead(read []byte) { c.head.start(read) }
 
 // CheckHead returns trace.BadParameter if the head that was started, or an interim one before
-// it, has a line that begins with a blank.
+// it, has a line that begins with a blank, or a transfer encoding before HTTP/1.1 (RFC 9112,
+// sections 5.2 and 6.1).
 func (c *Conn) CheckHead() error { return c.head.check() }
 
 // Write writes to the connection.
--- a/internal/core/strict/head_test.go
+++ b/internal/core/strict/head_test.go
@@ -20,8 +20,8 @@
 
 func (s script) Read(p []byte) (int, error) { return s.in.Read(p[:min(s.size, len(p))]) }
 
-// A line of a head that begins with a blank is found wherever reads divide the head. Bodies
-// are not looked at.
+// A line of a head that begins with a blank, and a transfer encoding before HTTP/1.1, are found
+// wherever reads divide the head. Bodies are not looked at.
 func TestCheckHead(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\nA: b c\r\n"
 	for _, test := range []struct {
@@ -34,6 +34,11 @@
 		{"HTTP/1.1  200 OK\r\n\r\n body", false},
 		{"HTTP/1.1 101 Switching\r\n\r\n data", false},
 		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n" + ok + "\r\n body", false},
+		{"HTTP/1.0 200 OK\r\nA: b\r\n\r\nTransfer-Encoding: chunked\r\n", false},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		{"HTTP/1.0 103 Hints\r\n\r\nHTTP/1.0 200 OK\r\nA: b\r\ntransfer-encoding:gzip\r\n\r\n", true},
+		{"HTTP/1.0 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
 		{ok + " C: d\r\n\r\n", true},
 		{ok + "\tC: d\r\n\r\n", true},
 		{ok + " \r\n\r\n", true},
--- a/internal/standin/rig/broken_test.go
+++ b/internal/standin/rig/broken_test.go
@@ -148,6 +148,17 @@
 	}
 }
 
+// An answer in HTTP/1.0 that names a transfer encoding is no answer: what its body is can't be
+// told.
+func TestTransferEncodingOfOldAnswer(t *testing.T) {
+	eachEntry(t, func(t *testing.T, r *rig.Rig, entry string, size int) {
+		got := answerOnce(t, r, entry, size, broken.Answer{Text: "HTTP/1.0 200 OK\r\nChestnut-Echo: {id}\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", End: broken.Close})
+		if got.Status != http.StatusBadGateway || got.Ran == "no" {
+			t.Errorf("reached the caller as %d %q", got.Status, got.Body)
+		}
+	})
+}
+
 // An answer to HEAD does not tell that the body for GET is empty.
 func TestAnswerToHead(t *testing.T) {
 	r := startRig(t, uploads(t))
--- a/internal/traffic/httpconn/broken_test.go
+++ b/internal/traffic/httpconn/broken_test.go
@@ -239,6 +239,34 @@
 	}
 }
 
+// An answer in HTTP/1.0 that names a transfer encoding was passed on with the sizes of its
+// chunks in the body.
+func TestTransferEncodingOfOldAnswer(t *testing.T) {
+	const chunks = "2\r\nab\r\n0\r\n\r\n"
+	for _, test := range []struct {
+		text, body string
+		fails      bool
+	}{
+		{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, "", true},
+		{"HTTP/1.0 200 OK\r\nID: 1\r\ntransfer-encoding:chunked\r\nContent-Length: 2\r\n\r\n" + chunks, "", true},
+		{"HTTP/1.0 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nTRANSFER-ENCODING: gzip\r\n\r\nab", "", true},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, "ab", false},
+		{"HTTP/1.0 200 OK\r\nTransfer-Encodings: chunked\r\nX: Transfer-Encoding: chunked\r\n\r\nTransfer-Encoding: a", "Transfer-Encoding: a", false},
+		{"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nab", "ab", false},
+	} {
+		address, _ := scriptedServer(t, false, test.text)
+		resp, err := pool(address).Do(t.Context(), get("1"), httpconn.Reuse{})
+		switch {
+		case err == nil && test.fails:
+			t.Errorf("%q: passed on with body %q", test.text, resp.Body)
+		case err != nil && !test.fails:
+			t.Errorf("%q: lost: %v", test.text, err)
+		case err == nil && string(resp.Body) != test.body:
+			t.Errorf("%q: passed on with body %q", test.text, resp.Body)
+		}
+	}
+}
+
 // A control byte in the value of a field makes an answer malformed.
 func TestControlBytesInValues(t *testing.T) {
 	for c := range byte(0x20) {
